Workspace, kernel, messages, HTTP client and server, platform client

Cause: nothing stands yet. Change: a workspace of components, ids and units checked where they enter, a pooled client that knows whether a failed request may have been sent, a server with bounded headers, and the platform's protocol behind a trait. Tests: codec versions, what counts as sent, silent and closed connections.

--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry component.
--- /dev/null
+++ b/components/jobs/src/lib.rs
@@ -0,0 +1,1 @@
+//! The jobs component.
--- /dev/null
+++ b/components/kernel/src/clock.rs
@@ -0,0 +1,74 @@
+//! Clocks are passed in, so that decisions can be replayed without waiting.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use crate::{Millis, Timestamp};
+
+/// A source of time. Only efficiency may rest on it, never safety
+/// (docs/DESIGN.md#the-principle).
+pub trait Clock: Send + Sync + 'static {
+    /// Returns the monotonic time since this clock's start.
+    fn now(&self) -> Timestamp;
+
+    /// Returns the wall clock in milliseconds of Unix time, for logs and the
+    /// time line only.
+    fn wall(&self) -> Millis;
+}
+
+/// The machine's own clock.
+#[derive(Debug, Clone)]
+pub struct SystemClock {
+    /// When the process started.
+    start: Instant,
+}
+
+impl SystemClock {
+    /// Starts a clock at zero.
+    pub fn new() -> SystemClock {
+        SystemClock {
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> SystemClock {
+        SystemClock::new()
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Timestamp {
+        Timestamp(self.start.elapsed().as_micros() as u64)
+    }
+
+    fn wall(&self) -> Millis {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        Millis(since.map_or(0, |d| d.as_millis() as u64))
+    }
+}
+
+/// A clock that moves only when told to, for tests and seeded runs.
+#[derive(Debug, Default)]
+pub struct ManualClock {
+    /// Microseconds since the start.
+    micros: AtomicU64,
+}
+
+impl ManualClock {
+    /// Moves the clock forward.
+    pub fn advance(&self, span: Millis) {
+        self.micros.fetch_add(span.micros(), Ordering::SeqCst);
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Timestamp {
+        Timestamp(self.micros.load(Ordering::SeqCst))
+    }
+
+    fn wall(&self) -> Millis {
+        Millis(self.micros.load(Ordering::SeqCst) / 1000)
+    }
+}
--- /dev/null
+++ b/components/kernel/src/lib.rs
@@ -0,0 +1,18 @@
+//! What every part of pomelopost shares: ids, units, clocks, hash maps and the
+//! registry of plug-ins. The kernel knows the registry and no feature; see
+//! `docs/ARCHITECTURE.md`.
+
+mod clock;
+mod hash;
+mod ids;
+mod registry;
+mod text;
+mod units;
+
+pub use clock::{Clock, ManualClock, SystemClock};
+pub use hash::{HashMap, HashSet, key_hash};
+pub use ids::{
+    Domain, IdError, Incarnation, JobKey, MinionId, Place, Service, TaskId, Team, Ticket, VmId,
+};
+pub use registry::{Fault, Key, Kind, Parts, Plugin, Section, plugins};
+pub use units::{Cores, Millis, Offset, Slots, Timestamp, UnitError};
--- /dev/null
+++ b/components/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! The limits component.
--- /dev/null
+++ b/components/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! The membership component.
--- /dev/null
+++ b/components/replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replay component.
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! The routing component.
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! The settings component.
--- /dev/null
+++ b/components/sheet/src/lib.rs
@@ -0,0 +1,1 @@
+//! The sheet component.
--- /dev/null
+++ b/components/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! The standins component.
--- /dev/null
+++ b/components/timeline/src/lib.rs
@@ -0,0 +1,1 @@
+//! The timeline component.
--- /dev/null
+++ b/components/wire/src/outcome.rs
@@ -0,0 +1,152 @@
+//! How a job ended. See `docs/DESIGN.md#outcomes`.
+
+use std::fmt;
+
+use bytes::Bytes;
+use kernel::TaskId;
+use serde::{Deserialize, Serialize};
+
+/// Whether any task of a failed job may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ran {
+    /// No byte of any task was handed to a transport.
+    No,
+    /// Some task may have started.
+    Maybe,
+}
+
+/// The answer to one task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskAnswer {
+    /// The task's id.
+    pub id: TaskId,
+    /// What the minion answered.
+    pub body: Bytes,
+}
+
+/// Why a job failed, or why its outcome can't be told.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// A minion answered that this task failed.
+    TaskFailed(TaskId),
+    /// The connection broke after the task was sent, so that it may have run.
+    ConnectionLost(TaskId),
+    /// The deadline passed.
+    Deadline,
+    /// A caller cancelled the job.
+    Cancelled,
+    /// The queue is full or the deadline could not be met.
+    Overloaded,
+    /// The team holds as many slots as its quota allows and its queue is full.
+    Quota,
+    /// No live minion offers the service.
+    NoMinion,
+    /// The sheet gives the service no slots here.
+    UnknownService,
+    /// No worker is large enough for this task.
+    TooLarge(TaskId),
+    /// The platform's log is away, so a key made up by the caller can't be
+    /// claimed.
+    LogAway,
+    /// The VM is stopping and takes no new jobs.
+    Stopping,
+    /// The VM has no sheet yet.
+    NotReady,
+    /// The VM that owned the job is gone for good.
+    OwnerGone,
+    /// The VM that owns the job can't be reached now.
+    OwnerAway,
+    /// The job ended so long ago that its answer has been dropped.
+    Forgotten,
+    /// No VM of this fleet has minted the ticket.
+    NeverMinted,
+    /// No job of this key is known here.
+    UnknownJob,
+}
+
+impl Reason {
+    /// Returns the stable word for the reason in answers, metrics and logs.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Reason::TaskFailed(_) => "task_failed",
+            Reason::ConnectionLost(_) => "connection_lost",
+            Reason::Deadline => "deadline",
+            Reason::Cancelled => "cancelled",
+            Reason::Overloaded => "overloaded",
+            Reason::Quota => "quota",
+            Reason::NoMinion => "no_minion",
+            Reason::UnknownService => "unknown_service",
+            Reason::TooLarge(_) => "too_large",
+            Reason::LogAway => "log_away",
+            Reason::Stopping => "stopping",
+            Reason::NotReady => "not_ready",
+            Reason::OwnerGone => "owner_gone",
+            Reason::OwnerAway => "owner_away",
+            Reason::Forgotten => "forgotten",
+            Reason::NeverMinted => "never_minted",
+            Reason::UnknownJob => "unknown_job",
+        }
+    }
+
+    /// Returns the task that the reason speaks of.
+    pub fn task(&self) -> Option<&TaskId> {
+        match self {
+            Reason::TaskFailed(id) | Reason::ConnectionLost(id) | Reason::TooLarge(id) => Some(id),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.task() {
+            Some(id) => write!(f, "{} {id}", self.word()),
+            None => f.write_str(self.word()),
+        }
+    }
+}
+
+/// How a job ended, as its callers are told.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// Every task answered; the answers are in the order of the tasks.
+    Complete(Vec<TaskAnswer>),
+    /// The job failed as a whole.
+    Failed {
+        /// Whether any task may have run.
+        ran: Ran,
+        /// Why it failed.
+        reason: Reason,
+    },
+    /// The VM asked can't tell. The job may be running elsewhere.
+    Unknown(Reason),
+}
+
+impl Outcome {
+    /// Builds the outcome of a job of which nothing was sent.
+    pub fn not_run(reason: Reason) -> Outcome {
+        Outcome::Failed {
+            ran: Ran::No,
+            reason,
+        }
+    }
+
+    /// Builds the outcome of a failed job of which something may have run.
+    pub fn may_have_run(reason: Reason) -> Outcome {
+        Outcome::Failed {
+            ran: Ran::Maybe,
+            reason,
+        }
+    }
+
+    /// Returns the bytes that the outcome's answers take, for memory bounds.
+    pub fn weight(&self) -> usize {
+        match self {
+            Outcome::Complete(answers) => answers
+                .iter()
+                .map(|a| a.body.len() + size_of::<TaskAnswer>())
+                .sum(),
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/components/wire/tests/client.rs
@@ -0,0 +1,102 @@
+//! The client knows whether a request may have been sent.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use wire::{CallError, Client, Handler, PoolLimits, Server, ServerLimits, TcpConnect};
+
+#[derive(Clone)]
+struct Echo;
+
+impl Handler for Echo {
+    async fn handle(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let body = wire::read_body(req.into_body(), 1000, Duration::from_secs(1)).await;
+        Response::new(Full::new(body.unwrap_or_default()))
+    }
+}
+
+fn request(text: &'static str) -> Request<Full<Bytes>> {
+    Request::post("/")
+        .header("host", "x")
+        .body(Full::from(text))
+        .unwrap()
+}
+
+const WAIT: Duration = Duration::from_millis(300);
+
+#[tokio::test]
+async fn keeps_connection() {
+    let server = Server::bind("127.0.0.1:0".parse().unwrap(), ServerLimits::default())
+        .await
+        .unwrap();
+    let addr = server.addr().unwrap();
+    tokio::spawn(server.serve(Echo));
+    let client = Client::new(TcpConnect, PoolLimits::default());
+    for text in ["a", "b"] {
+        let reply = client.call(addr, request(text), WAIT).await.unwrap();
+        assert_eq!(reply.body, text);
+        assert_eq!(client.idle(), 1);
+    }
+}
+
+#[tokio::test]
+async fn refused_unsent() {
+    let port = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = port.local_addr().unwrap();
+    drop(port);
+    let client = Client::new(TcpConnect, PoolLimits::default());
+    let told = client.call(addr, request("a"), WAIT).await.unwrap_err();
+    assert_eq!(told, CallError::Refused);
+    assert!(!told.maybe_sent());
+}
+
+#[tokio::test]
+async fn broken_sent() {
+    let port = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = port.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = port.accept().await.unwrap();
+        let mut buf = [0; 10];
+        let _ = stream.read(&mut buf).await;
+    });
+    let client = Client::new(TcpConnect, PoolLimits::default());
+    let told = client.call(addr, request("a"), WAIT).await.unwrap_err();
+    assert!(told.maybe_sent(), "{told}");
+}
+
+#[tokio::test]
+async fn silent_bounded() {
+    let port = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = port.local_addr().unwrap();
+    let client = Client::new(TcpConnect, PoolLimits::default());
+    let told = client.call(addr, request("a"), WAIT).await.unwrap_err();
+    assert_eq!(told, CallError::Timeout);
+}
+
+#[tokio::test]
+async fn closed_reopens() {
+    let port = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = port.local_addr().unwrap();
+    tokio::spawn(async move {
+        for _ in 0..2 {
+            let (mut stream, _) = port.accept().await.unwrap();
+            let mut buf = [0; 1000];
+            let _ = stream.read(&mut buf).await;
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nz";
+            stream.write_all(answer).await.unwrap();
+        }
+    });
+    let client = Client::new(TcpConnect, PoolLimits::default());
+    for _ in 0..2 {
+        assert_eq!(
+            client.call(addr, request("a"), WAIT).await.unwrap().body,
+            "z"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/src/bin/pomeloctl.rs
@@ -0,0 +1,2 @@
+//! The operators tool.
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! The program.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The entry VM.
+fn main() {}
