--- /dev/null
+++ b/components/jobs/src/claim.rs
@@ -0,0 +1,349 @@
+//! Claims to keys that callers make up. The first claim in the log's order owns
+//! the key; whoever reads the log sees the same owner. An owner that never
+//! started the job may release the key, and the next claim in order then owns
+//! it.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::str::FromStr;
+
+use kernel::{HashMap, HashSet, IdError, Incarnation, JobKey, Offset, VmId, key_hash};
+use serde::{Deserialize, Serialize};
+
+/// A key that a caller made up, in 16 bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct KeyHash(pub u128);
+
+impl KeyHash {
+    /// Hashes a key.
+    pub fn of(key: &JobKey) -> KeyHash {
+        match key {
+            JobKey::Bare(text) => KeyHash(key_hash(text.as_bytes())),
+            JobKey::Ticket(ticket) => KeyHash(key_hash(ticket.to_string().as_bytes())),
+        }
+    }
+}
+
+impl fmt::Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for KeyHash {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<KeyHash, IdError> {
+        u128::from_str_radix(s, 16)
+            .map(KeyHash)
+            .map_err(|_| IdError::Form)
+    }
+}
+
+impl From<KeyHash> for String {
+    fn from(key: KeyHash) -> String {
+        key.to_string()
+    }
+}
+
+impl TryFrom<String> for KeyHash {
+    type Error = IdError;
+
+    fn try_from(s: String) -> Result<KeyHash, IdError> {
+        s.parse()
+    }
+}
+
+/// Who owns a key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owner {
+    /// The incarnation that may start the job.
+    pub incarnation: Incarnation,
+    /// The VM that it runs on.
+    pub vm: VmId,
+}
+
+/// One record of the claims' stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ClaimRecord {
+    /// Claims keys that nobody owns yet.
+    Claim {
+        /// Who claims.
+        by: Owner,
+        /// The keys.
+        keys: Vec<KeyHash>,
+    },
+    /// Gives up keys whose jobs were never started.
+    Release {
+        /// Who owned the keys.
+        by: Owner,
+        /// The keys.
+        keys: Vec<KeyHash>,
+    },
+}
+
+/// Why a record of the claims' stream is passed over.
+#[derive(Debug)]
+pub enum ClaimError {
+    /// It can't be read. Every reader passes over it alike.
+    Broken(serde_json::Error),
+    /// Records between the last one applied and this one are missing.
+    Gap {
+        /// The offset that should have come.
+        wanted: Offset,
+    },
+}
+
+impl fmt::Display for ClaimError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ClaimError::Broken(e) => write!(f, "the claim can't be read: {e}"),
+            ClaimError::Gap { wanted } => write!(f, "claims from offset {wanted} on are missing"),
+        }
+    }
+}
+
+impl std::error::Error for ClaimError {}
+
+/// What a record decided for keys that this VM waits on.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Decided {
+    /// Keys that this VM owns now and has been waiting for.
+    pub won: Vec<KeyHash>,
+    /// Keys that another VM owns.
+    pub lost: Vec<(KeyHash, Owner)>,
+    /// Keys that this VM owns but has given up waiting for; they are to be
+    /// released.
+    pub stray: Vec<KeyHash>,
+}
+
+/// What one VM knows of the claims, to be taken over by another that could not
+/// read them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Coverage {
+    /// The oldest offset whose claims are covered.
+    pub first: Offset,
+    /// The offset up to which claims are covered.
+    pub next: Offset,
+    /// The owners, each once.
+    pub owners: Vec<Owner>,
+    /// The keys in the order of their claims, with the index of their owner.
+    pub keys: Vec<(KeyHash, u32)>,
+}
+
+/// The claims as read from the log.
+#[derive(Debug)]
+pub struct Claims {
+    /// This VM.
+    me: Owner,
+    /// The oldest offset whose claims are known.
+    first: Offset,
+    /// The next offset to apply.
+    next: Offset,
+    /// The owners, by the index that keys use.
+    owners: Vec<Owner>,
+    /// The index of each owner's incarnation.
+    index: HashMap<Incarnation, u32>,
+    /// The owner of each key.
+    keys: HashMap<KeyHash, u32>,
+    /// The keys in the order of their claims.
+    order: VecDeque<KeyHash>,
+    /// The most keys remembered.
+    most: usize,
+    /// The keys that this VM waits to own.
+    pending: HashSet<KeyHash>,
+    /// The keys that this VM is giving up.
+    leaving: HashSet<KeyHash>,
+}
+
+impl Claims {
+    /// Makes an empty set of claims that remembers up to `most` keys.
+    pub fn new(me: Owner, most: usize) -> Claims {
+        Claims {
+            me,
+            first: Offset(0),
+            next: Offset(0),
+            owners: Vec::new(),
+            index: HashMap::default(),
+            keys: HashMap::default(),
+            order: VecDeque::new(),
+            most,
+            pending: HashSet::default(),
+            leaving: HashSet::default(),
+        }
+    }
+
+    /// Returns the next offset to read.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Returns how many keys are remembered.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Tells whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Returns a key's owner.
+    pub fn owner(&self, key: KeyHash) -> Option<&Owner> {
+        self.keys.get(&key).map(|&i| &self.owners[i as usize])
+    }
+
+    /// Tells whether this VM is giving up a key, so that it can't be had now.
+    pub fn leaving(&self, key: KeyHash) -> bool {
+        self.leaving.contains(&key)
+    }
+
+    /// Notes that this VM waits to own a key.
+    pub fn wait_for(&mut self, key: KeyHash) {
+        self.pending.insert(key);
+    }
+
+    /// Notes that this VM no longer waits for a key. Should its claim turn up
+    /// later, the key is released.
+    pub fn give_up(&mut self, key: KeyHash) {
+        self.pending.remove(&key);
+    }
+
+    /// Applies the record at an offset. One that was applied before is passed
+    /// over.
+    ///
+    /// # Errors
+    ///
+    /// A broken record is passed over; a gap applies nothing.
+    pub fn apply(&mut self, offset: Offset, data: &str) -> Result<Decided, ClaimError> {
+        if offset < self.next {
+            return Ok(Decided::default());
+        }
+        if offset > self.next {
+            return Err(ClaimError::Gap { wanted: self.next });
+        }
+        self.next = offset.next();
+        let record = serde_json::from_str(data).map_err(ClaimError::Broken)?;
+        let mut decided = Decided::default();
+        match record {
+            ClaimRecord::Claim { by, keys } => {
+                for key in keys {
+                    self.claim(key, &by, &mut decided);
+                }
+            }
+            ClaimRecord::Release { by, keys } => {
+                for key in keys {
+                    self.release(key, &by);
+                }
+            }
+        }
+        Ok(decided)
+    }
+
+    /// Jumps over records that the log no longer has and no peer could give.
+    pub fn skip_to(&mut self, first: Offset) {
+        if first > self.next {
+            self.first = first;
+            self.next = first;
+        }
+    }
+
+    /// Returns all that is known, for a peer.
+    pub fn export(&self) -> Coverage {
+        Coverage {
+            first: self.first,
+            next: self.next,
+            owners: self.owners.clone(),
+            keys: self
+                .order
+                .iter()
+                .filter_map(|key| Some((*key, *self.keys.get(key)?)))
+                .collect(),
+        }
+    }
+
+    /// Takes over what a peer knows, if it reaches back to here and further
+    /// ahead. It answers `None` if the peer's coverage doesn't help.
+    pub fn import(&mut self, theirs: Coverage) -> Option<Decided> {
+        if theirs.next <= self.next || theirs.first > self.next {
+            return None;
+        }
+        // Releases between here and there are not told, so all is replaced.
+        self.keys.clear();
+        self.order.clear();
+        self.first = theirs.first;
+        self.next = theirs.next;
+        let mut decided = Decided::default();
+        for (key, i) in theirs.keys {
+            if let Some(owner) = theirs.owners.get(i as usize) {
+                self.claim(key, owner, &mut decided);
+            }
+        }
+        Some(decided)
+    }
+
+    fn claim(&mut self, key: KeyHash, by: &Owner, decided: &mut Decided) {
+        if !self.keys.contains_key(&key) {
+            let i = self.index_of(by);
+            self.keys.insert(key, i);
+            self.order.push_back(key);
+            self.bound();
+            self.own(key, by, decided);
+        }
+        self.settle(key, decided);
+    }
+
+    /// Notes a key that has just become this VM's without anybody waiting.
+    fn own(&mut self, key: KeyHash, by: &Owner, decided: &mut Decided) {
+        let mine = by.incarnation == self.me.incarnation;
+        if mine && !self.pending.contains(&key) {
+            self.leaving.insert(key);
+            decided.stray.push(key);
+        }
+    }
+
+    /// Decides a key that this VM waits for.
+    fn settle(&mut self, key: KeyHash, decided: &mut Decided) {
+        if !self.pending.remove(&key) {
+            return;
+        }
+        match self.owner(key) {
+            Some(owner) if owner.incarnation == self.me.incarnation => decided.won.push(key),
+            Some(owner) => {
+                let owner = owner.clone();
+                decided.lost.push((key, owner));
+            }
+            None => {}
+        }
+    }
+
+    fn release(&mut self, key: KeyHash, by: &Owner) {
+        let owned = self.owner(key).map(|o| o.incarnation);
+        if owned == Some(by.incarnation) {
+            self.keys.remove(&key);
+            if by.incarnation == self.me.incarnation {
+                self.leaving.remove(&key);
+            }
+        }
+    }
+
+    fn index_of(&mut self, owner: &Owner) -> u32 {
+        if let Some(&i) = self.index.get(&owner.incarnation) {
+            return i;
+        }
+        let i = self.owners.len() as u32;
+        self.owners.push(owner.clone());
+        self.index.insert(owner.incarnation, i);
+        i
+    }
+
+    fn bound(&mut self) {
+        while self.order.len() > self.most {
+            if let Some(old) = self.order.pop_front() {
+                self.keys.remove(&old);
+            }
+        }
+    }
+}
--- a/components/jobs/src/lib.rs
+++ b/components/jobs/src/lib.rs
@@ -1,1 +1,15 @@
-//! The jobs component.
+//! Jobs, who may start them, and how they ended. Everything here is a function
+//! of calls and needs no network: the table of jobs, the windows of tickets and
+//! the claims to keys that callers make up (docs/design/at-most-once.md).
+
+mod claim;
+mod job;
+mod outcome;
+mod table;
+mod window;
+
+pub use claim::{ClaimError, ClaimRecord, Claims, Coverage, Decided, KeyHash, Owner};
+pub use job::{JobError, JobSpec, MAX_TASKS, TaskSpec};
+pub use outcome::{Outcome, Ran, Reason, TaskAnswer};
+pub use table::{Entered, JobTable, Kept, TableLimits};
+pub use window::{Judged, Window, WindowState, Windows};
--- a/components/wire/src/outcome.rs
+++ b/components/jobs/src/outcome.rs
@@ -88,6 +88,22 @@
         }
     }
 
+    /// Tells whether the same key may be submitted again later with another
+    /// result. Such a refusal is made before the job is accepted, and is not
+    /// kept as the job's answer.
+    pub fn passing(&self) -> bool {
+        matches!(
+            self,
+            Reason::Overloaded
+                | Reason::Quota
+                | Reason::NoMinion
+                | Reason::LogAway
+                | Reason::Stopping
+                | Reason::NotReady
+                | Reason::OwnerAway
+        )
+    }
+
     /// Returns the task that the reason speaks of.
     pub fn task(&self) -> Option<&TaskId> {
         match self {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -1,23 +1,19 @@
-//! Messages and how they travel: the job and its outcome, the codec between
-//! entry VMs, and hyper's client and server with every wait bounded.
+//! How messages travel: the codec between entry VMs, and hyper's client and
+//! server with every wait bounded.
 
 mod body;
 mod client;
 mod codec;
 mod connect;
-mod job;
 mod minion;
-mod outcome;
 mod server;
 
 pub use body::{BodyError, read_body};
 pub use client::{CallError, Client, PoolLimits, Reply};
 pub use codec::{CodecError, VERSION, decode, encode};
 pub use connect::{Connect, TcpConnect};
-pub use job::{JobError, JobSpec, MAX_TASKS, TaskSpec};
 pub use minion::{
     DEADLINE_HEADER, INCARNATION_HEADER, JOB_HEADER, SERVICE_HEADER, STARTED_HEADER, TASK_HEADER,
     TASK_PATH,
 };
-pub use outcome::{Outcome, Ran, Reason, TaskAnswer};
 pub use server::{Handler, Server, ServerLimits, Stopper};
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -1,29 +1,31 @@
 //! Messages of another version and broken ones are told apart.
 
 use proptest::prelude::*;
-use wire::{CodecError, Outcome, Ran, Reason, decode, encode};
+use wire::{CodecError, decode, encode};
+
+type Message = Vec<(u32, Option<String>)>;
 
 #[test]
 fn round_trip() {
-    let outcome = Outcome::may_have_run(Reason::Deadline);
-    let bytes = encode(&outcome).unwrap();
-    assert_eq!(decode::<Outcome>(&bytes).unwrap(), outcome);
+    let message: Message = vec![(7, None), (8, Some("x".into()))];
+    let bytes = encode(&message).unwrap();
+    assert_eq!(decode::<Message>(&bytes).unwrap(), message);
 }
 
 #[test]
 fn other_version() {
-    let mut bytes = encode(&Ran::No).unwrap().to_vec();
+    let mut bytes = encode(&7u32).unwrap().to_vec();
     bytes[1] += 1;
-    let told = decode::<Ran>(&bytes);
+    let told = decode::<u32>(&bytes);
     assert!(matches!(told, Err(CodecError::Version { theirs: 2 })));
 }
 
 proptest! {
     #[test]
     fn broken_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
-        let _ = decode::<Outcome>(&bytes);
+        let _ = decode::<Message>(&bytes);
         let mut framed = vec![0, 1];
         framed.extend(bytes);
-        let _ = decode::<Outcome>(&framed);
+        let _ = decode::<Message>(&framed);
     }
 }
