--- /dev/null
+++ b/components/entry/src/api.rs
@@ -0,0 +1,271 @@
+//! The callers' interface in JSON (docs/API.md).
+
+use std::fmt;
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Response, StatusCode};
+use http_body_util::Full;
+use jobs::{JobSpec, Outcome, Ran, Reason, TaskSpec};
+use kernel::{Cores, JobKey, Millis, Service, TaskId, Team};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use crate::config::JobLimits;
+
+/// Where the caller puts the job's key.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// A task as a caller writes it.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TaskBody {
+    id: TaskId,
+    #[serde(default)]
+    payload: Option<Box<RawValue>>,
+    #[serde(default)]
+    declared_ms: Option<u64>,
+    #[serde(default)]
+    cores: Option<u32>,
+}
+
+/// A job as a caller writes it.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobBody {
+    team: Team,
+    service: Service,
+    #[serde(default)]
+    idempotent: bool,
+    deadline_ms: u64,
+    tasks: Vec<TaskBody>,
+}
+
+/// What is wrong with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadRequest {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The header or field at fault.
+    pub field: CompactString,
+    /// What was expected.
+    pub expected: CompactString,
+}
+
+impl BadRequest {
+    /// Names a field and what was expected there.
+    pub fn new(field: &str, expected: impl fmt::Display) -> BadRequest {
+        BadRequest {
+            status: StatusCode::BAD_REQUEST,
+            field: field.into(),
+            expected: format_compact!("{expected}"),
+        }
+    }
+}
+
+/// Reads the job's key from its header.
+///
+/// # Errors
+///
+/// Tells a key that is missing, given twice or malformed.
+pub fn read_key(headers: &HeaderMap) -> Result<JobKey, BadRequest> {
+    let mut given = headers.get_all(KEY_HEADER).iter();
+    let Some(value) = given.next() else {
+        return Err(BadRequest::new("Idempotency-Key", "a key or a ticket"));
+    };
+    if given.next().is_some() {
+        return Err(BadRequest::new("Idempotency-Key", "one header only"));
+    }
+    let Ok(text) = value.to_str() else {
+        return Err(BadRequest::new("Idempotency-Key", "visible ASCII"));
+    };
+    text.parse()
+        .map_err(|e| BadRequest::new("Idempotency-Key", e))
+}
+
+/// Reads a job from a submission's body.
+///
+/// # Errors
+///
+/// Names the field at fault and what was expected there.
+pub fn read_job(key: JobKey, body: &[u8], limits: &JobLimits) -> Result<JobSpec, BadRequest> {
+    let mut reader = serde_json::Deserializer::from_slice(body);
+    let job: JobBody = serde_path_to_error::deserialize(&mut reader)
+        .map_err(|e| BadRequest::new(&e.path().to_string(), e.inner()))?;
+    reader.end().map_err(|e| BadRequest::new("body", e))?;
+    if job.deadline_ms > limits.deadline.0 {
+        let most = format_compact!("at most {}", limits.deadline);
+        return Err(BadRequest::new("deadline_ms", most));
+    }
+    let spec = JobSpec {
+        key,
+        team: job.team,
+        service: job.service,
+        idempotent: job.idempotent,
+        deadline: Millis(job.deadline_ms),
+        tasks: job.tasks.into_iter().map(read_task).collect(),
+    };
+    spec.check().map_err(|e| BadRequest::new("tasks", e))?;
+    Ok(spec)
+}
+
+fn read_task(task: TaskBody) -> TaskSpec {
+    let payload = task.payload.map(|p| Bytes::from(String::from(Box::<str>::from(p))));
+    TaskSpec {
+        id: task.id,
+        payload: payload.unwrap_or_else(|| Bytes::from_static(b"null")),
+        declared: task.declared_ms.map(Millis),
+        cores: Cores(task.cores.unwrap_or(1)),
+    }
+}
+
+/// One answer in a complete job's answer.
+#[derive(Serialize)]
+struct AnswerBody<'a> {
+    id: &'a TaskId,
+    answer: AnswerValue<'a>,
+}
+
+/// A minion's answer: JSON as it came, or else text.
+#[derive(Serialize)]
+#[serde(untagged)]
+enum AnswerValue<'a> {
+    Json(&'a RawValue),
+    Text(std::borrow::Cow<'a, str>),
+}
+
+/// A job's outcome as a caller reads it.
+#[derive(Serialize)]
+struct OutcomeBody<'a> {
+    outcome: &'static str,
+    key: &'a JobKey,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    answers: Option<Vec<AnswerBody<'a>>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ran: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    task: Option<&'a TaskId>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+/// Writes a job's outcome.
+pub fn write_outcome(key: &JobKey, outcome: &Outcome, retry: Millis) -> Response<Full<Bytes>> {
+    let (word, ran, reason) = match outcome {
+        Outcome::Complete(_) => ("complete", None, None),
+        Outcome::Failed { ran, reason } => ("failed", Some(ran_word(*ran)), Some(reason)),
+        Outcome::Unknown(reason) => ("unknown", None, Some(reason)),
+    };
+    let answers = match outcome {
+        Outcome::Complete(answers) => Some(answers.iter().map(write_answer).collect()),
+        _ => None,
+    };
+    let again = reason.is_some_and(Reason::passing);
+    let body = OutcomeBody {
+        outcome: word,
+        key,
+        answers,
+        ran,
+        reason: reason.map(Reason::word),
+        task: reason.and_then(Reason::task),
+        retry_after_ms: again.then_some(retry.0),
+    };
+    let mut res = json(status_of(outcome), &body);
+    if again {
+        put_retry(&mut res, retry);
+    }
+    res
+}
+
+fn ran_word(ran: Ran) -> &'static str {
+    match ran {
+        Ran::No => "no",
+        Ran::Maybe => "maybe",
+    }
+}
+
+fn write_answer(answer: &jobs::TaskAnswer) -> AnswerBody<'_> {
+    let value = match serde_json::from_slice(&answer.body) {
+        Ok(raw) => AnswerValue::Json(raw),
+        Err(_) => AnswerValue::Text(String::from_utf8_lossy(&answer.body)),
+    };
+    AnswerBody {
+        id: &answer.id,
+        answer: value,
+    }
+}
+
+fn status_of(outcome: &Outcome) -> StatusCode {
+    let reason = match outcome {
+        Outcome::Complete(_) => return StatusCode::OK,
+        Outcome::Failed { reason, .. } | Outcome::Unknown(reason) => reason,
+    };
+    match reason {
+        Reason::TaskFailed(_) | Reason::ConnectionLost(_) | Reason::OwnerGone => {
+            StatusCode::BAD_GATEWAY
+        }
+        Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        Reason::Cancelled => StatusCode::CONFLICT,
+        Reason::Quota => StatusCode::TOO_MANY_REQUESTS,
+        Reason::UnknownService | Reason::TooLarge(_) => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::Forgotten => StatusCode::GONE,
+        Reason::NeverMinted | Reason::UnknownJob => StatusCode::NOT_FOUND,
+        Reason::Overloaded
+        | Reason::NoMinion
+        | Reason::LogAway
+        | Reason::Stopping
+        | Reason::NotReady
+        | Reason::OwnerAway => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// A refused request as a caller reads it.
+#[derive(Serialize)]
+struct RefusedBody<'a> {
+    outcome: &'static str,
+    ran: &'static str,
+    reason: &'static str,
+    field: &'a str,
+    expected: &'a str,
+}
+
+/// Writes what is wrong with a request.
+pub fn write_bad(bad: &BadRequest) -> Response<Full<Bytes>> {
+    json(
+        bad.status,
+        &RefusedBody {
+            outcome: "refused",
+            ran: "no",
+            reason: "bad_request",
+            field: &bad.field,
+            expected: &bad.expected,
+        },
+    )
+}
+
+/// Writes a JSON answer.
+pub fn json<T: Serialize>(status: StatusCode, body: &T) -> Response<Full<Bytes>> {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    let mut res = Response::new(Full::from(bytes));
+    *res.status_mut() = status;
+    res.headers_mut()
+        .insert("content-type", HeaderValue::from_static("application/json"));
+    res
+}
+
+/// Writes an answer without a body.
+pub fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::default());
+    *res.status_mut() = status;
+    res
+}
+
+/// Tells the caller when to come back, in whole seconds as HTTP has it.
+fn put_retry(res: &mut Response<Full<Bytes>>, retry: Millis) {
+    let seconds = retry.0.div_ceil(1000).max(1);
+    res.headers_mut()
+        .insert("retry-after", HeaderValue::from(seconds));
+}
--- /dev/null
+++ b/components/entry/src/message.rs
@@ -0,0 +1,90 @@
+//! The messages between entry VMs. Each goes to a path of its own, by POST.
+
+use std::sync::Arc;
+
+use jobs::{Coverage, JobSpec, Kept, Outcome, WindowState};
+use kernel::{Incarnation, JobKey, Millis, VmId};
+use serde::{Deserialize, Serialize};
+
+/// Passes a job to the only VM that may start it.
+pub const PASS_PATH: &str = "/peer/v1/pass";
+/// Waits on for the outcome of a job that was passed.
+pub const AWAIT_PATH: &str = "/peer/v1/await";
+/// Cancels a job.
+pub const CANCEL_PATH: &str = "/peer/v1/cancel";
+/// Looks a job up.
+pub const FIND_PATH: &str = "/peer/v1/find";
+/// Exchanges heartbeats.
+pub const BEAT_PATH: &str = "/peer/v1/beat";
+/// Asks for the sheet in force.
+pub const SHEET_PATH: &str = "/peer/v1/sheet";
+/// Asks for the claims known.
+pub const CLAIMS_PATH: &str = "/peer/v1/claims";
+/// Hands windows and kept answers to a successor.
+pub const HANDOVER_PATH: &str = "/peer/v1/handover";
+
+/// A job on its way to its owner.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct Pass {
+    /// The incarnation that owns the job's key.
+    pub target: Incarnation,
+    /// The job, with the deadline that is left.
+    pub spec: JobSpec,
+}
+
+/// Names a job at its owner.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct Ask {
+    /// The incarnation that owns the job's key.
+    pub target: Incarnation,
+    /// The job.
+    pub key: JobKey,
+}
+
+/// What an owner answers about a job.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub enum PassReply {
+    /// The job has ended.
+    Ended(Arc<Outcome>),
+    /// The job runs still; ask again.
+    Running,
+    /// This VM doesn't answer for the incarnation.
+    NotMine,
+}
+
+/// The answer to a request for claims.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct ClaimsReply {
+    /// All that the VM knows.
+    pub coverage: Coverage,
+}
+
+/// What a VM that stops leaves to its successor.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct HandOver {
+    /// The VM that stops.
+    pub from: VmId,
+    /// The windows that it answered for.
+    pub windows: Vec<WindowState>,
+    /// The answers that it kept.
+    pub kept: Vec<Kept>,
+}
+
+/// The successor's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum HandOverReply {
+    /// All is taken over.
+    Taken,
+    /// The VM is stopping itself and took nothing.
+    Stopping,
+}
+
+/// The longest that one message waits for a job's outcome before the owner
+/// answers [`PassReply::Running`], so that a silent connection is noticed.
+pub const POLL_WAIT: Millis = Millis(1_000);
--- a/components/jobs/src/claim.rs
+++ b/components/jobs/src/claim.rs
@@ -64,6 +64,15 @@
     pub vm: VmId,
 }
 
+/// A claim to be given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// The key.
+    pub key: KeyHash,
+    /// The offset of the claim that ends.
+    pub claim: Offset,
+}
+
 /// One record of the claims' stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -75,12 +84,13 @@
         /// The keys.
         keys: Vec<KeyHash>,
     },
-    /// Gives up keys whose jobs were never started.
+    /// Gives up keys whose jobs were never started. It names the claim that it
+    /// ends, so that a release that turns up late can't end a newer claim.
     Release {
         /// Who owned the keys.
         by: Owner,
         /// The keys.
-        keys: Vec<KeyHash>,
+        keys: Vec<Release>,
     },
 }
 
@@ -116,7 +126,7 @@
     pub lost: Vec<(KeyHash, Owner)>,
     /// Keys that this VM owns but has given up waiting for; they are to be
     /// released.
-    pub stray: Vec<KeyHash>,
+    pub stray: Vec<Release>,
 }
 
 /// What one VM knows of the claims, to be taken over by another that could not
@@ -129,8 +139,17 @@
     pub next: Offset,
     /// The owners, each once.
     pub owners: Vec<Owner>,
-    /// The keys in the order of their claims, with the index of their owner.
-    pub keys: Vec<(KeyHash, u32)>,
+    /// The keys in the order of their claims.
+    pub keys: Vec<(KeyHash, Held)>,
+}
+
+/// How a key is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The index of the owner.
+    pub owner: u32,
+    /// The offset of the claim.
+    pub claim: Offset,
 }
 
 /// The claims as read from the log.
@@ -146,10 +165,10 @@
     owners: Vec<Owner>,
     /// The index of each owner's incarnation.
     index: HashMap<Incarnation, u32>,
-    /// The owner of each key.
-    keys: HashMap<KeyHash, u32>,
-    /// The keys in the order of their claims.
-    order: VecDeque<KeyHash>,
+    /// How each key is held.
+    keys: HashMap<KeyHash, Held>,
+    /// The claims in order.
+    order: VecDeque<Release>,
     /// The most keys remembered.
     most: usize,
     /// The keys that this VM waits to own.
@@ -192,7 +211,8 @@
 
     /// Returns a key's owner.
     pub fn owner(&self, key: KeyHash) -> Option<&Owner> {
-        self.keys.get(&key).map(|&i| &self.owners[i as usize])
+        let held = self.keys.get(&key)?;
+        self.owners.get(held.owner as usize)
     }
 
     /// Tells whether this VM is giving up a key, so that it can't be had now.
@@ -230,7 +250,7 @@
         match record {
             ClaimRecord::Claim { by, keys } => {
                 for key in keys {
-                    self.claim(key, &by, &mut decided);
+                    self.claim(Release { key, claim: offset }, &by, &mut decided);
                 }
             }
             ClaimRecord::Release { by, keys } => {
@@ -259,7 +279,7 @@
             keys: self
                 .order
                 .iter()
-                .filter_map(|key| Some((*key, *self.keys.get(key)?)))
+                .filter_map(|claim| self.live(*claim))
                 .collect(),
         }
     }
@@ -271,36 +291,51 @@
             return None;
         }
         // Releases between here and there are not told, so all is replaced.
+        let read = self.next;
+        let left = std::mem::take(&mut self.leaving);
         self.keys.clear();
         self.order.clear();
         self.first = theirs.first;
         self.next = theirs.next;
         let mut decided = Decided::default();
-        for (key, i) in theirs.keys {
-            if let Some(owner) = theirs.owners.get(i as usize) {
-                self.claim(key, owner, &mut decided);
+        for (key, held) in theirs.keys {
+            let claim = Release {
+                key,
+                claim: held.claim,
+            };
+            if let Some(owner) = theirs.owners.get(held.owner as usize) {
+                self.claim(claim, owner, &mut decided);
             }
         }
+        // What this VM read before has been waited for, and may run by now.
+        decided.stray.retain(|r| r.claim >= read);
+        self.leaving.retain(|key| {
+            let held = self.keys.get(key);
+            held.is_some_and(|h| h.claim >= read || left.contains(key))
+        });
         Some(decided)
     }
 
-    fn claim(&mut self, key: KeyHash, by: &Owner, decided: &mut Decided) {
-        if !self.keys.contains_key(&key) {
-            let i = self.index_of(by);
-            self.keys.insert(key, i);
-            self.order.push_back(key);
+    fn claim(&mut self, claim: Release, by: &Owner, decided: &mut Decided) {
+        if !self.keys.contains_key(&claim.key) {
+            let held = Held {
+                owner: self.index_of(by),
+                claim: claim.claim,
+            };
+            self.keys.insert(claim.key, held);
+            self.order.push_back(claim);
             self.bound();
-            self.own(key, by, decided);
+            self.own(claim, by, decided);
         }
-        self.settle(key, decided);
+        self.settle(claim.key, decided);
     }
 
     /// Notes a key that has just become this VM's without anybody waiting.
-    fn own(&mut self, key: KeyHash, by: &Owner, decided: &mut Decided) {
+    fn own(&mut self, claim: Release, by: &Owner, decided: &mut Decided) {
         let mine = by.incarnation == self.me.incarnation;
-        if mine && !self.pending.contains(&key) {
-            self.leaving.insert(key);
-            decided.stray.push(key);
+        if mine && !self.pending.contains(&claim.key) {
+            self.leaving.insert(claim.key);
+            decided.stray.push(claim);
         }
     }
 
@@ -319,14 +354,29 @@
         }
     }
 
-    fn release(&mut self, key: KeyHash, by: &Owner) {
-        let owned = self.owner(key).map(|o| o.incarnation);
-        if owned == Some(by.incarnation) {
-            self.keys.remove(&key);
-            if by.incarnation == self.me.incarnation {
-                self.leaving.remove(&key);
-            }
+    fn release(&mut self, claim: Release, by: &Owner) {
+        let owned = self.owner(claim.key).map(|o| o.incarnation);
+        if owned != Some(by.incarnation) || self.live(claim).is_none() {
+            return;
+        }
+        self.keys.remove(&claim.key);
+        self.leaving.remove(&claim.key);
+    }
+
+    /// Returns how a key is held, if it is by this very claim.
+    fn live(&self, claim: Release) -> Option<(KeyHash, Held)> {
+        let held = *self.keys.get(&claim.key)?;
+        (held.claim == claim.claim).then_some((claim.key, held))
+    }
+
+    /// Gives up a key that this VM owns and whose job was never started.
+    pub fn resign(&mut self, key: KeyHash) -> Option<Release> {
+        let mine = self.owner(key)?.incarnation == self.me.incarnation;
+        let claim = self.keys.get(&key)?.claim;
+        if !mine || !self.leaving.insert(key) {
+            return None;
         }
+        Some(Release { key, claim })
     }
 
     fn index_of(&mut self, owner: &Owner) -> u32 {
@@ -341,8 +391,11 @@
 
     fn bound(&mut self) {
         while self.order.len() > self.most {
-            if let Some(old) = self.order.pop_front() {
-                self.keys.remove(&old);
+            let Some(old) = self.order.pop_front() else {
+                return;
+            };
+            if self.live(old).is_some() {
+                self.keys.remove(&old.key);
             }
         }
     }
--- a/components/jobs/src/lib.rs
+++ b/components/jobs/src/lib.rs
@@ -8,7 +8,9 @@
 mod table;
 mod window;
 
-pub use claim::{ClaimError, ClaimRecord, Claims, Coverage, Decided, KeyHash, Owner};
+pub use claim::{
+    ClaimError, ClaimRecord, Claims, Coverage, Decided, Held, KeyHash, Owner, Release,
+};
 pub use job::{JobError, JobSpec, MAX_TASKS, TaskSpec};
 pub use outcome::{Outcome, Ran, Reason, TaskAnswer};
 pub use table::{Entered, JobTable, Kept, TableLimits};
