Time line: hybrid logical clock, typed events, bounded ring, merge and story

Events of several VMs can only be put in order by stamps that respect messages, since wall clocks differ.

Change: components/timeline.

--- a/components/timeline/src/lib.rs
+++ b/components/timeline/src/lib.rs
@@ -1,1 +1,23 @@
-//! The timeline component.
+//! The time line: what every VM did and why, in an order that respects cause
+//! and effect over all VMs. Each VM keeps a bounded [`Ring`] of typed events;
+//! operators merge the rings of all VMs into one story. See
+//! `docs/design/timeline.md`.
+
+mod event;
+mod excerpt;
+mod filter;
+mod hlc;
+mod plugin;
+mod recorder;
+mod ring;
+mod story;
+mod text;
+
+pub use event::{Cause, Event, EventKind, Note, Weight};
+pub use excerpt::{Excerpt, merge};
+pub use filter::{Filter, FilterError};
+pub use hlc::{Hlc, MAX_DRIFT, Stamp, StampError};
+pub use plugin::{Config, Lines};
+pub use recorder::Recorder;
+pub use ring::Ring;
+pub use story::{Story, json_line};
--- /dev/null
+++ b/components/timeline/src/story.rs
@@ -0,0 +1,86 @@
+//! Events as people and programs read them.
+
+use std::fmt;
+use std::time::UNIX_EPOCH;
+
+use kernel::{JobKey, Millis};
+
+use crate::{Event, Weight};
+
+/// How long before a job's first event the circumstances still matter.
+const LEAD: Millis = Millis(10_000);
+
+/// Events as one story, a line each, with times relative to the first.
+#[derive(Debug, Clone, Copy)]
+pub struct Story<'a> {
+    /// The events, in causal order.
+    events: &'a [Event],
+}
+
+impl<'a> Story<'a> {
+    /// Makes a story of events in causal order.
+    pub fn new(events: &'a [Event]) -> Story<'a> {
+        Story { events }
+    }
+
+    /// Keeps the events of one job and, of those that name no job, the notable
+    /// ones from shortly before its first event to its last.
+    pub fn of_job(events: Vec<Event>, job: &JobKey) -> Vec<Event> {
+        let own = |e: &&Event| e.job.as_ref() == Some(job);
+        let walls = || events.iter().filter(own).map(|e| e.at.wall);
+        let (Some(first), Some(last)) = (walls().min(), walls().max()) else {
+            return Vec::new();
+        };
+        let span = Millis(first.0.saturating_sub(LEAD.0))..=last;
+        let keep = |e: &Event| {
+            let around = e.job.is_none() && e.what.weight() == Weight::Notable;
+            own(&e) || (around && span.contains(&e.at.wall))
+        };
+        events.into_iter().filter(keep).collect()
+    }
+}
+
+impl fmt::Display for Story<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(first) = self.events.first() else {
+            return writeln!(f, "no events");
+        };
+        let start = first.at.wall;
+        let time = UNIX_EPOCH + start.duration();
+        writeln!(f, "from {}", humantime::format_rfc3339_millis(time))?;
+        let widths = self.events.iter().map(|e| e.process.as_str().len());
+        let width = widths.max().unwrap_or_default();
+        for event in self.events {
+            line(f, event, start, width)?;
+        }
+        Ok(())
+    }
+}
+
+fn line(f: &mut fmt::Formatter<'_>, event: &Event, start: Millis, width: usize) -> fmt::Result {
+    let since = event.at.wall.0.saturating_sub(start.0);
+    write!(f, "{:>+5}.{:03}s", since / 1000, since % 1000)?;
+    write!(f, "  {:width$}  {}", event.process.as_str(), event.what)?;
+    if let Some(task) = &event.task {
+        write!(f, ", task {task}")?;
+    }
+    if let Some(minion) = &event.minion {
+        write!(f, ", minion {minion}")?;
+    }
+    if let Some(job) = &event.job {
+        write!(f, ", job {job}")?;
+    }
+    if let Some(cause) = &event.cause {
+        write!(f, ": {cause}")?;
+    }
+    writeln!(f)
+}
+
+/// Writes an event as one line of JSON.
+///
+/// # Errors
+///
+/// Fails only when the serializer does, which no event makes it do.
+pub fn json_line(event: &Event) -> Result<String, serde_json::Error> {
+    serde_json::to_string(event)
+}
