--- /dev/null
+++ b/components/entry/src/callers.rs
@@ -0,0 +1,194 @@
+//! The callers' side: submissions, look-ups, cancellations, tickets, and what
+//! the balancer and operators ask.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response, StatusCode};
+use jobs::{JobSpec, Outcome, Reason};
+use kernel::{JobKey, Ticket};
+use routing::Policy;
+use serde::Serialize;
+use wire::{BodyError, Connect, Handler};
+
+use crate::api::{self, BadRequest};
+use crate::core::{Core, Stage};
+use crate::lookup::{self, Found};
+use crate::status;
+use crate::submit::submit;
+
+/// Where jobs are submitted, looked up and cancelled.
+const JOBS_PATH: &str = "/v1/jobs";
+
+/// Where tickets are minted.
+const TICKETS_PATH: &str = "/v1/tickets";
+
+/// The most tickets minted at once.
+const TICKETS_MAX: u64 = 1000;
+
+/// Answers callers.
+pub struct Callers<C: Connect, P: Policy> {
+    /// The VM.
+    pub core: Arc<Core<C, P>>,
+}
+
+impl<C: Connect, P: Policy> Clone for Callers<C, P> {
+    fn clone(&self) -> Self {
+        Callers {
+            core: self.core.clone(),
+        }
+    }
+}
+
+impl<C: Connect, P: Policy> Handler for Callers<C, P> {
+    async fn handle(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let mut res = self.route(req).await;
+        if self.core.stage() != Stage::Serving {
+            // Callers that keep connections are to open the next elsewhere.
+            let close = HeaderValue::from_static("close");
+            res.headers_mut().insert("connection", close);
+        }
+        res
+    }
+}
+
+impl<C: Connect, P: Policy> Callers<C, P> {
+    async fn route(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let path = req.uri().path().to_owned();
+        let query = req.uri().query().unwrap_or_default().to_owned();
+        match (req.method(), path.as_str()) {
+            (&Method::POST, JOBS_PATH) => self.submit(req).await,
+            (&Method::POST, TICKETS_PATH) => self.tickets(&query),
+            (&Method::GET, "/live") => api::empty(StatusCode::OK),
+            (&Method::GET, "/ready") => self.ready(),
+            (&Method::GET, "/v1/status") => api::json(StatusCode::OK, &status::read(&self.core)),
+            (&Method::GET, "/v1/timeline") => self.timeline(&query),
+            (method, _) => match path.strip_prefix("/v1/jobs/") {
+                Some(key) => self.one_job(method, key).await,
+                None => api::empty(StatusCode::NOT_FOUND),
+            },
+        }
+    }
+
+    async fn submit(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let spec = match self.read_job(req).await {
+            Ok(spec) => spec,
+            Err(bad) => return api::write_bad(&bad),
+        };
+        let key = spec.key.clone();
+        let retry = spec.clone();
+        let outcome = submit(&self.core, spec).await;
+        let after = self.core.retry_after(&retry);
+        api::write_outcome(&key, &outcome, after)
+    }
+
+    async fn read_job(&self, req: Request<Incoming>) -> Result<JobSpec, BadRequest> {
+        let limits = &self.core.cfg.jobs;
+        let key = api::read_key(req.headers())?;
+        let wait = limits.body_wait.duration();
+        let body = wire::read_body(req.into_body(), limits.body_size, wait).await;
+        let body = body.map_err(|e| BadRequest {
+            status: body_status(e),
+            ..BadRequest::new("body", e)
+        })?;
+        api::read_job(key, &body, limits)
+    }
+
+    async fn one_job(&self, method: &Method, key: &str) -> Response<Full<Bytes>> {
+        let key: JobKey = match key.parse() {
+            Ok(key) => key,
+            Err(e) => return api::write_bad(&BadRequest::new("key", e)),
+        };
+        let found = match *method {
+            Method::GET => lookup::find(&self.core, &key).await,
+            Method::DELETE => lookup::cancel(&self.core, &key).await,
+            _ => return api::empty(StatusCode::METHOD_NOT_ALLOWED),
+        };
+        write_found(&key, &found)
+    }
+
+    fn tickets(&self, query: &str) -> Response<Full<Bytes>> {
+        let count = match read_count(query) {
+            Ok(count) => count,
+            Err(bad) => return api::write_bad(&bad),
+        };
+        if !self.core.ready() {
+            return api::empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let tickets = self.core.windows.mint(count);
+        api::json(StatusCode::OK, &TicketsBody::new(&tickets))
+    }
+
+    fn ready(&self) -> Response<Full<Bytes>> {
+        match self.core.ready() {
+            true => api::empty(StatusCode::OK),
+            false => api::empty(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
+    fn timeline(&self, query: &str) -> Response<Full<Bytes>> {
+        match query.parse::<timeline::Filter>() {
+            Ok(filter) => api::json(StatusCode::OK, &self.core.recorder.read(&filter)),
+            Err(e) => api::write_bad(&BadRequest::new("query", e)),
+        }
+    }
+}
+
+fn body_status(e: BodyError) -> StatusCode {
+    match e {
+        BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::Slow => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Broken => StatusCode::BAD_REQUEST,
+    }
+}
+
+fn read_count(query: &str) -> Result<u64, BadRequest> {
+    let Some(text) = query.strip_prefix("count=") else {
+        return Err(BadRequest::new("count", "the number of tickets"));
+    };
+    match text.parse() {
+        Ok(count) if (1..=TICKETS_MAX).contains(&count) => Ok(count),
+        _ => Err(BadRequest::new("count", "a number from 1 to 1000")),
+    }
+}
+
+/// Tickets as a caller reads them.
+#[derive(Serialize)]
+struct TicketsBody {
+    tickets: Vec<String>,
+}
+
+impl TicketsBody {
+    fn new(tickets: &[Ticket]) -> TicketsBody {
+        TicketsBody {
+            tickets: tickets.iter().map(Ticket::to_string).collect(),
+        }
+    }
+}
+
+/// A job that has not ended, as a caller reads it.
+#[derive(Serialize)]
+struct RunningBody<'a> {
+    outcome: &'static str,
+    key: &'a JobKey,
+}
+
+fn write_found(key: &JobKey, found: &Found) -> Response<Full<Bytes>> {
+    match found {
+        Found::Ended(outcome) => api::write_outcome(key, outcome, crate::core::RETRY_AFTER),
+        Found::Running => api::json(
+            StatusCode::ACCEPTED,
+            &RunningBody {
+                outcome: "running",
+                key,
+            },
+        ),
+        Found::Nothing => {
+            let unknown = Outcome::Unknown(Reason::UnknownJob);
+            api::write_outcome(key, &unknown, crate::core::RETRY_AFTER)
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/drive.rs
@@ -0,0 +1,140 @@
+//! Runs one job from admission to its outcome.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use jobs::{JobSpec, KeyHash, Outcome, Ran, Reason, TaskAnswer};
+use kernel::JobKey;
+use routing::Policy;
+use timeline::{EventKind, Note};
+use wire::Connect;
+
+use crate::claimer::Claimed;
+use crate::core::Core;
+use crate::pass::pass_to;
+use crate::run::Run;
+use crate::task::run_task;
+
+/// Runs a job that has just been entered, and ends it for everyone who waits.
+pub async fn drive<C: Connect, P: Policy>(core: Arc<Core<C, P>>, run: Arc<Run>) {
+    let guard = Guard {
+        core: &core,
+        run: &run,
+    };
+    let outcome = tokio::select! {
+        outcome = attempt(&core, &run) => outcome,
+        () = tokio::time::sleep_until(run.until) => failed(&run, Reason::Deadline),
+        reason = run.cut_reason() => failed(&run, reason),
+    };
+    std::mem::forget(guard);
+    settle(&core, &run, outcome);
+}
+
+/// Answers the callers even if the job's own code fails.
+struct Guard<'a, C: Connect, P: Policy> {
+    /// The VM.
+    core: &'a Core<C, P>,
+    /// The job.
+    run: &'a Run,
+}
+
+impl<C: Connect, P: Policy> Drop for Guard<'_, C, P> {
+    fn drop(&mut self) {
+        let outcome = Outcome::may_have_run(Reason::OwnerGone);
+        settle(self.core, self.run, outcome);
+    }
+}
+
+fn failed(run: &Run, reason: Reason) -> Outcome {
+    Outcome::Failed {
+        ran: run.ran(),
+        reason,
+    }
+}
+
+/// Admits the job, makes sure that this VM alone may start it, and runs it.
+async fn attempt<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, run: &Arc<Run>) -> Outcome {
+    if let Err(reason) = core.dispatch.admit(core, &run.spec) {
+        return Outcome::not_run(reason);
+    }
+    if !run.owned() {
+        match core.claimer.claim(KeyHash::of(&run.spec.key)).await {
+            Claimed::Won => run.own(),
+            Claimed::Away => return Outcome::not_run(Reason::LogAway),
+            Claimed::Lost(owner) => {
+                // The owner may run the job, whatever is heard of it here.
+                run.expose();
+                let outcome = pass_to(core, &owner, &run.spec).await;
+                return Outcome::clone(&outcome);
+            }
+        }
+    }
+    core.note(Note::new(EventKind::JobAdmitted).job(&run.spec.key));
+    run_tasks(core, run).await
+}
+
+/// Runs all tasks. The first that fails ends the job: dropping the others
+/// takes them out of the queue or closes their connections.
+async fn run_tasks<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, run: &Arc<Run>) -> Outcome {
+    let spec: &JobSpec = &run.spec;
+    let count = spec.tasks.len();
+    let mut going: FuturesUnordered<_> = (0..count).map(|i| run_task(core, run, i)).collect();
+    let mut answers: Vec<Option<TaskAnswer>> = vec![None; count];
+    while let Some((i, result)) = going.next().await {
+        match result {
+            Ok(answer) => answers[i] = Some(answer),
+            Err(reason) => return failed(run, reason),
+        }
+    }
+    match answers.into_iter().collect() {
+        Some(whole) => Outcome::Complete(whole),
+        None => failed(run, Reason::Cancelled),
+    }
+}
+
+/// Keeps a job's final outcome, or makes its key free again if the job was
+/// refused before anything was sent.
+fn settle<C: Connect, P: Policy>(core: &Core<C, P>, run: &Run, outcome: Outcome) {
+    let key = &run.spec.key;
+    core.counts.outcome(&outcome);
+    note_outcome(core, key, &outcome);
+    let outcome = Arc::new(outcome);
+    match &*outcome {
+        Outcome::Failed {
+            ran: Ran::No,
+            reason,
+        } if reason.passing() || !run.owned() => {
+            core.table.withdraw(key, || give_back(core, run));
+        }
+        // Another VM's answer; that VM keeps it.
+        _ if !run.owned() => core.table.withdraw(key, || {}),
+        _ => core.table.finish(key, outcome.clone(), core.now()),
+    }
+    run.end(outcome);
+}
+
+fn give_back<C: Connect, P: Policy>(core: &Core<C, P>, run: &Run) {
+    match &run.spec.key {
+        JobKey::Ticket(ticket) => core.windows.give_back(*ticket),
+        JobKey::Bare(_) if run.owned() => core.claimer.resign(KeyHash::of(&run.spec.key)),
+        JobKey::Bare(_) => {}
+    }
+}
+
+fn note_outcome<C: Connect, P: Policy>(core: &Core<C, P>, key: &JobKey, outcome: &Outcome) {
+    let (kind, reason) = match outcome {
+        Outcome::Complete(_) => (EventKind::JobCompleted, None),
+        Outcome::Failed {
+            ran: Ran::No,
+            reason,
+        } => (EventKind::JobRefused, Some(reason)),
+        Outcome::Failed { reason, .. } => (EventKind::JobFailed, Some(reason)),
+        Outcome::Unknown(reason) => (EventKind::JobUnknown, Some(reason)),
+    };
+    let mut note = Note::new(kind).job(key);
+    if let Some(reason) = reason {
+        note = note.cause(reason.word());
+    }
+    core.note(note);
+}
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -1,28 +1,39 @@
 //! A job in the table while it runs.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-use jobs::{JobSpec, Outcome};
+use jobs::{JobSpec, Outcome, Ran, Reason};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// A running job, shared by everyone who waits for it.
 #[derive(Debug)]
 pub struct Run {
     /// The job.
     pub spec: Arc<JobSpec>,
+    /// When the job must have ended.
+    pub until: Instant,
     /// The outcome, once there is one.
     ended: watch::Sender<Option<Arc<Outcome>>>,
-    /// True once somebody has cancelled the job.
-    cancelled: watch::Sender<bool>,
+    /// Why the job is to be ended early, once somebody wants that.
+    cut: watch::Sender<Option<Reason>>,
+    /// The tasks that may have started.
+    exposed: AtomicUsize,
+    /// True once this VM alone may start the job.
+    owned: AtomicBool,
 }
 
 impl Run {
-    /// Makes a job that has not ended.
-    pub fn new(spec: Arc<JobSpec>) -> Run {
+    /// Makes a job that has not ended. `owned` tells that no claim is needed.
+    pub fn new(spec: Arc<JobSpec>, owned: bool) -> Run {
         Run {
+            until: Instant::now() + spec.deadline.duration(),
             spec,
             ended: watch::Sender::new(None),
-            cancelled: watch::Sender::new(false),
+            cut: watch::Sender::new(None),
+            exposed: AtomicUsize::new(0),
+            owned: AtomicBool::new(owned),
         }
     }
 
@@ -44,19 +55,53 @@
         match known.ok().and_then(|o| o.clone()) {
             Some(outcome) => outcome,
             // The sender lives in self, so that the wait can't fail.
-            None => unreachable!("the outcome's sender is alive"),
+            None => Arc::new(Outcome::Unknown(Reason::UnknownJob)),
         }
     }
 
-    /// Asks for the job to be cancelled.
-    pub fn cancel(&self) {
-        self.cancelled.send_replace(true);
+    /// Asks for the job to end early.
+    pub fn cut(&self, reason: Reason) {
+        self.cut.send_if_modified(|cut| {
+            let first = cut.is_none();
+            if first {
+                *cut = Some(reason);
+            }
+            first
+        });
+    }
+
+    /// Waits until somebody wants the job to end early.
+    pub async fn cut_reason(&self) -> Reason {
+        let mut cut = self.cut.subscribe();
+        let known = cut.wait_for(Option::is_some).await;
+        known.ok().and_then(|r| r.clone()).unwrap_or(Reason::Cancelled)
+    }
+
+    /// Notes that a task is about to be handed to a transport.
+    pub fn expose(&self) {
+        self.exposed.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Notes that an exposed task provably did not start.
+    pub fn clear(&self) {
+        self.exposed.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    /// Tells whether any task may have started.
+    pub fn ran(&self) -> Ran {
+        match self.exposed.load(Ordering::SeqCst) {
+            0 => Ran::No,
+            _ => Ran::Maybe,
+        }
+    }
+
+    /// Notes that this VM alone may start the job.
+    pub fn own(&self) {
+        self.owned.store(true, Ordering::SeqCst);
     }
 
-    /// Waits until somebody cancels the job.
-    pub async fn cancelled(&self) {
-        let mut cancelled = self.cancelled.subscribe();
-        // The sender lives in self, so that the wait can't fail.
-        let _ = cancelled.wait_for(|c| *c).await;
+    /// Tells whether this VM alone may start the job.
+    pub fn owned(&self) -> bool {
+        self.owned.load(Ordering::SeqCst)
     }
 }
--- /dev/null
+++ b/components/entry/src/submit.rs
@@ -0,0 +1,160 @@
+//! From a submission to its outcome: to the only VM that may start the job.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use jobs::{Entered, JobSpec, Judged, KeyHash, Outcome, Reason};
+use kernel::{Incarnation, JobKey};
+use membership::Located;
+use routing::Policy;
+use timeline::{EventKind, Note};
+use wire::Connect;
+
+use crate::claimer::Known;
+use crate::core::{Core, Stage};
+use crate::drive::drive;
+use crate::pass::pass;
+use crate::run::Run;
+
+/// How often a submission looks for the owner again when the owner changes
+/// under its hands.
+const ROUNDS: usize = 4;
+
+/// Where a key's owner is.
+#[derive(Debug, Clone)]
+pub enum Place {
+    /// This VM answers for the key.
+    Here,
+    /// A peer does.
+    Peer(Incarnation, SocketAddr),
+    /// Nobody who could be asked now; this is what to tell the caller.
+    Nowhere(Outcome),
+}
+
+/// Why a job can't be entered here.
+pub enum Bar {
+    /// This is its outcome.
+    Told(Outcome),
+    /// Another VM owns it by now.
+    Elsewhere,
+}
+
+/// Finds out which VM answers for a key.
+pub fn place_of<C: Connect, P: Policy>(core: &Core<C, P>, key: &JobKey) -> Place {
+    match key {
+        JobKey::Ticket(ticket) => locate(core, ticket.owner),
+        JobKey::Bare(_) => match core.claimer.known(KeyHash::of(key)) {
+            Known::Owner(owner) => locate(core, owner.incarnation),
+            Known::Nobody | Known::Uncovered | Known::Leaving => Place::Here,
+        },
+    }
+}
+
+fn locate<C: Connect, P: Policy>(core: &Core<C, P>, owner: Incarnation) -> Place {
+    if core.windows.holds(owner) {
+        return Place::Here;
+    }
+    let mut target = owner;
+    // Each planned stop on the way names the next successor.
+    for _ in 0..SUCCESSORS {
+        match core.view.load().locate(target) {
+            Located::Peer(addr) | Located::Away(addr) => return Place::Peer(owner, addr),
+            Located::Gone {
+                successor: Some(next),
+            } if core.me.incarnation == next => {
+                // Named, but nothing was handed over to this VM.
+                return Place::Nowhere(Outcome::Unknown(Reason::OwnerAway));
+            }
+            Located::Gone {
+                successor: Some(next),
+            } => target = next,
+            Located::Gone { successor: None } => {
+                return Place::Nowhere(Outcome::may_have_run(Reason::OwnerGone));
+            }
+            Located::Here => return Place::Nowhere(Outcome::Unknown(Reason::OwnerAway)),
+            Located::NeverSeen => return Place::Nowhere(Outcome::Unknown(Reason::OwnerAway)),
+        }
+    }
+    Place::Nowhere(Outcome::Unknown(Reason::OwnerAway))
+}
+
+/// The longest chain of planned stops that is followed in one look.
+const SUCCESSORS: usize = 16;
+
+/// Brings a submission to its outcome, here or at the VM that owns the key.
+pub async fn submit<C: Connect, P: Policy>(
+    core: &Arc<Core<C, P>>,
+    spec: JobSpec,
+) -> Arc<Outcome> {
+    core.note(Note::new(EventKind::JobReceived).job(&spec.key));
+    let spec = Arc::new(spec);
+    for _ in 0..ROUNDS {
+        match place_of(core, &spec.key) {
+            Place::Nowhere(outcome) => return Arc::new(outcome),
+            Place::Peer(target, addr) => return pass(core, target, addr, &spec).await,
+            Place::Here => match enter(core, &spec) {
+                Ok(run) => return run.outcome().await,
+                Err(Bar::Told(outcome)) => return Arc::new(outcome),
+                Err(Bar::Elsewhere) => {}
+            },
+        }
+    }
+    Arc::new(Outcome::Unknown(Reason::OwnerAway))
+}
+
+/// Enters a job that this VM answers for: starts it, or joins those who wait
+/// for it already.
+///
+/// # Errors
+///
+/// Tells why the job may not be started here.
+pub fn enter<C: Connect, P: Policy>(
+    core: &Arc<Core<C, P>>,
+    spec: &Arc<JobSpec>,
+) -> Result<Arc<Run>, Bar> {
+    match core.table.enter(&spec.key, || permit(core, spec)) {
+        Entered::New(run) => {
+            tokio::spawn(drive(core.clone(), run.clone()));
+            Ok(run)
+        }
+        Entered::Running(run) => {
+            core.note(Note::new(EventKind::JobAttached).job(&spec.key));
+            Ok(run)
+        }
+        Entered::Done(outcome) => {
+            core.note(Note::new(EventKind::JobAttached).job(&spec.key));
+            Err(Bar::Told(Outcome::clone(&outcome)))
+        }
+        Entered::Barred(bar) => Err(bar),
+    }
+}
+
+/// Decides under the table's lock whether this VM may start a job that it does
+/// not know yet.
+fn permit<C: Connect, P: Policy>(core: &Core<C, P>, spec: &Arc<JobSpec>) -> Result<Run, Bar> {
+    if core.stage() != Stage::Serving {
+        return Err(Bar::Told(Outcome::not_run(Reason::Stopping)));
+    }
+    match &spec.key {
+        JobKey::Ticket(ticket) => match core.windows.take(*ticket) {
+            Some(Judged::Fresh) => Ok(Run::new(spec.clone(), true)),
+            Some(Judged::Used | Judged::Past) => {
+                Err(Bar::Told(Outcome::Unknown(Reason::Forgotten)))
+            }
+            Some(Judged::NeverMinted) => Err(Bar::Told(Outcome::not_run(Reason::NeverMinted))),
+            None => Err(Bar::Elsewhere),
+        },
+        JobKey::Bare(_) => match core.claimer.known(KeyHash::of(&spec.key)) {
+            Known::Nobody => Ok(Run::new(spec.clone(), false)),
+            Known::Owner(owner) if core.windows.holds(owner.incarnation) => {
+                Err(Bar::Told(Outcome::Unknown(Reason::Forgotten)))
+            }
+            Known::Owner(_) => Err(Bar::Elsewhere),
+            Known::Leaving => Err(Bar::Told(Outcome::not_run(Reason::LogAway))),
+            Known::Uncovered if core.claimer.away() => {
+                Err(Bar::Told(Outcome::not_run(Reason::LogAway)))
+            }
+            Known::Uncovered => Err(Bar::Told(Outcome::not_run(Reason::NotReady))),
+        },
+    }
+}
--- /dev/null
+++ b/components/entry/src/task.rs
@@ -0,0 +1,164 @@
+//! Runs one task: waits for a slot, sends the task once, and sends it again
+//! only when it provably did not start.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::HeaderValue;
+use hyper::{Request, StatusCode};
+use jobs::{Reason, TaskAnswer, TaskSpec};
+use kernel::MinionId;
+use routing::{Finish, MinionInfo, Policy};
+use timeline::{EventKind, Note};
+use tokio::time::Instant;
+use wire::{CallError, Connect, Reply};
+
+use crate::core::Core;
+use crate::run::Run;
+
+/// The first pause after a minion turned a task away; it doubles each time.
+const PAUSE: Duration = Duration::from_millis(2);
+
+/// The longest such pause.
+const PAUSE_MAX: Duration = Duration::from_millis(100);
+
+/// The minions remembered as having turned a task away.
+const AVOID: usize = 8;
+
+/// How sending a task ended.
+enum Sent {
+    /// The minion answered.
+    Answered(Bytes),
+    /// The minion answered that the task failed.
+    Failed,
+    /// The task provably did not start.
+    NotStarted,
+    /// The task may have run.
+    Lost,
+}
+
+/// Runs the task at a position of its job, and answers that position with it.
+pub async fn run_task<C: Connect, P: Policy>(
+    core: &Arc<Core<C, P>>,
+    run: &Arc<Run>,
+    at: usize,
+) -> (usize, Result<TaskAnswer, Reason>) {
+    let task = &run.spec.tasks[at];
+    let result = answer_of(core, run, task).await;
+    let answer = result.map(|body| TaskAnswer {
+        id: task.id.clone(),
+        body,
+    });
+    (at, answer)
+}
+
+async fn answer_of<C: Connect, P: Policy>(
+    core: &Arc<Core<C, P>>,
+    run: &Arc<Run>,
+    task: &TaskSpec,
+) -> Result<Bytes, Reason> {
+    let mut avoid: Vec<MinionId> = Vec::new();
+    let mut pause = PAUSE;
+    loop {
+        let held = core.dispatch.slot(run, task, &avoid).await?;
+        let minion = held.minion().clone();
+        let started = core.now();
+        run.expose();
+        note(core, run, task, &minion, EventKind::TaskSent);
+        match send(core, run, task, &minion).await {
+            Sent::Answered(body) => {
+                let run_time = core.now().micros_since(started);
+                held.finish(Finish::Answered { run: run_time }, core.now());
+                note(core, run, task, &minion, EventKind::TaskAnswered);
+                return Ok(body);
+            }
+            Sent::Failed => {
+                held.finish(Finish::TaskFailed, core.now());
+                note(core, run, task, &minion, EventKind::TaskFailed);
+                return Err(Reason::TaskFailed(task.id.clone()));
+            }
+            Sent::Lost => {
+                held.finish(Finish::Lost, core.now());
+                core.minions.forget(minion.addr);
+                note(core, run, task, &minion, EventKind::TaskLost);
+                return Err(Reason::ConnectionLost(task.id.clone()));
+            }
+            Sent::NotStarted => {
+                run.clear();
+                held.finish(Finish::NotStarted, core.now());
+                core.counts.not_started();
+                note(core, run, task, &minion, EventKind::TaskNotStarted);
+            }
+        }
+        if avoid.len() == AVOID {
+            avoid.remove(0);
+        }
+        avoid.push(minion.id);
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(PAUSE_MAX);
+    }
+}
+
+fn note<C: Connect, P: Policy>(
+    core: &Core<C, P>,
+    run: &Run,
+    task: &TaskSpec,
+    minion: &MinionInfo,
+    kind: EventKind,
+) {
+    let note = Note::new(kind).job(&run.spec.key).task(&task.id);
+    core.note(note.minion(&minion.id));
+}
+
+async fn send<C: Connect, P: Policy>(
+    core: &Core<C, P>,
+    run: &Run,
+    task: &TaskSpec,
+    minion: &MinionInfo,
+) -> Sent {
+    let left = run.until.saturating_duration_since(Instant::now());
+    let Some(req) = request(core, run, task, left) else {
+        return Sent::NotStarted;
+    };
+    core.counts.task_sent();
+    let answer = core.minions.call(minion.addr, req, left).await;
+    judge(answer)
+}
+
+fn request<C: Connect, P: Policy>(
+    core: &Core<C, P>,
+    run: &Run,
+    task: &TaskSpec,
+    left: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    let text = |s: &str| HeaderValue::from_str(s).ok();
+    Request::post(wire::TASK_PATH)
+        .header("host", "minion")
+        .header("content-type", "application/json")
+        .header(wire::JOB_HEADER, text(&run.spec.key.to_string())?)
+        .header(wire::TASK_HEADER, text(task.id.as_str())?)
+        .header(wire::SERVICE_HEADER, text(run.spec.service.as_str())?)
+        .header(wire::INCARNATION_HEADER, text(&core.me.incarnation.to_string())?)
+        .header(wire::DEADLINE_HEADER, left.as_millis() as u64)
+        .body(Full::new(task.payload.clone()))
+        .ok()
+}
+
+/// Only a connection that never carried the task, or the minion's own word,
+/// proves that the task did not start.
+fn judge(answer: Result<Reply, CallError>) -> Sent {
+    match answer {
+        Ok(reply) if reply.status == StatusCode::OK => Sent::Answered(reply.body),
+        Ok(reply) if never_started(&reply) => Sent::NotStarted,
+        Ok(_) => Sent::Failed,
+        Err(e) if e.maybe_sent() => Sent::Lost,
+        Err(_) => Sent::NotStarted,
+    }
+}
+
+fn never_started(reply: &Reply) -> bool {
+    let said = reply.headers.get(wire::STARTED_HEADER);
+    reply.status == StatusCode::SERVICE_UNAVAILABLE && said.is_some_and(|v| v == "no")
+}
