--- /dev/null
+++ b/components/standins/src/minion.rs
@@ -0,0 +1,280 @@
+//! A minion with few slots, whose tasks sleep.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use kernel::{Cores, Domain, MinionId, Service, Slots};
+use platform::{MinionRow, Presence};
+use serde::{Deserialize, Serialize};
+use wire::{
+    INCARNATION_HEADER, JOB_HEADER, SERVICE_HEADER, STARTED_HEADER, TASK_HEADER, TASK_PATH,
+};
+
+use crate::ledger::{Ledger, Start};
+use crate::listener::{HangUp, Listener, Serve};
+use crate::respond::{empty, json};
+
+/// What a minion is.
+#[derive(Debug, Clone)]
+pub struct MinionConfig {
+    /// The minion.
+    pub id: MinionId,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// The services that it offers.
+    pub services: Vec<Service>,
+    /// How many tasks it runs at once.
+    pub slots: Slots,
+    /// The cores of its worker.
+    pub cores: Cores,
+}
+
+/// What a task's payload asks of the minion.
+#[derive(Debug, Deserialize)]
+struct Payload {
+    /// The run time in milliseconds.
+    #[serde(default)]
+    run_ms: u64,
+    /// Whether the task fails at its end.
+    #[serde(default)]
+    fails: bool,
+}
+
+/// The answer to a task, which names it so that a wrong answer shows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskReply {
+    /// The job's key.
+    pub job: CompactString,
+    /// The task's id within its job.
+    pub task: CompactString,
+    /// The minion that ran it.
+    pub minion: MinionId,
+}
+
+/// The longest payload in bytes.
+const MAX_PAYLOAD: usize = 16 << 20;
+
+/// The longest wait for a payload.
+const PAYLOAD_WAIT: Duration = Duration::from_secs(10);
+
+/// What the minion's requests share.
+struct State {
+    /// What the minion is.
+    config: MinionConfig,
+    /// Where starts are recorded.
+    ledger: Ledger,
+    /// How many tasks run now.
+    running: AtomicU32,
+    /// Whether every task fails at once.
+    failing: AtomicBool,
+    /// Whether the minion is leaving.
+    leaving: AtomicBool,
+    /// The factor on run times, as the bits of an `f64`.
+    factor: AtomicU64,
+}
+
+/// A cloneable handle to a minion on loopback.
+#[derive(Clone)]
+pub struct MinionStandin {
+    /// What its requests share.
+    state: Arc<State>,
+    /// Its listener.
+    listener: Arc<Listener>,
+}
+
+impl MinionStandin {
+    /// Starts a minion on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub async fn start(config: MinionConfig, ledger: Ledger) -> io::Result<MinionStandin> {
+        let state = Arc::new(State {
+            config,
+            ledger,
+            running: AtomicU32::new(0),
+            failing: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            factor: AtomicU64::new(1f64.to_bits()),
+        });
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let listener = Listener::bind(addr, Tasks(state.clone())).await?;
+        Ok(MinionStandin {
+            state,
+            listener: Arc::new(listener),
+        })
+    }
+
+    /// Returns where it takes tasks.
+    pub fn addr(&self) -> SocketAddr {
+        self.listener.addr()
+    }
+
+    /// Returns its row for the platform's list.
+    pub fn row(&self) -> MinionRow {
+        let config = &self.state.config;
+        let presence = match self.state.leaving.load(Ordering::SeqCst) {
+            true => Presence::Leaving,
+            false => Presence::Live,
+        };
+        MinionRow {
+            id: config.id.clone(),
+            domain: config.domain.clone(),
+            addr: self.addr(),
+            presence,
+            services: config.services.clone(),
+            slots: config.slots,
+            cores: config.cores,
+        }
+    }
+
+    /// Returns how many tasks run now.
+    pub fn running(&self) -> u32 {
+        self.state.running.load(Ordering::SeqCst)
+    }
+
+    /// Closes the listener and breaks all connections, with their tasks.
+    pub fn die(&self) {
+        self.listener.kill();
+    }
+
+    /// Listens again after [`MinionStandin::die`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when another process has taken the port meanwhile.
+    pub async fn come_back(&self) -> io::Result<()> {
+        self.listener.revive(Tasks(self.state.clone())).await
+    }
+
+    /// Makes every task fail at once, or ends that.
+    pub fn fail_all(&self, on: bool) {
+        self.state.failing.store(on, Ordering::SeqCst);
+    }
+
+    /// Multiplies the run times of tasks that start from now on.
+    pub fn slow(&self, factor: f64) {
+        self.state.factor.store(factor.to_bits(), Ordering::SeqCst);
+    }
+
+    /// Makes the connections that are open now silent for good.
+    pub fn silence(&self) {
+        self.listener.silence();
+    }
+
+    /// Marks the minion as leaving. Whoever keeps the platform's list has to
+    /// set the new row there.
+    pub fn leave(&self) {
+        self.state.leaving.store(true, Ordering::SeqCst);
+        self.state.ledger.leave(self.state.config.id.clone());
+    }
+}
+
+/// A slot in use.
+struct Slot<'a> {
+    /// The minion's count.
+    running: &'a AtomicU32,
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Serves tasks.
+#[derive(Clone)]
+struct Tasks(Arc<State>);
+
+impl Serve for Tasks {
+    async fn serve(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, HangUp> {
+        self.0.ledger.message();
+        let res = self.0.answer(req).await;
+        self.0.ledger.message();
+        Ok(res)
+    }
+}
+
+impl State {
+    async fn answer(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        if req.method() != Method::POST || req.uri().path() != TASK_PATH {
+            return empty(StatusCode::NOT_FOUND);
+        }
+        let (head, body) = req.into_parts();
+        let Ok(body) = wire::read_body(body, MAX_PAYLOAD, PAYLOAD_WAIT).await else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let offered = self.offers(header(&head.headers, SERVICE_HEADER));
+        match self.take_slot() {
+            Some(slot) if offered => self.run(&head.headers, &body, slot).await,
+            _ => not_started(),
+        }
+    }
+
+    fn offers(&self, service: &str) -> bool {
+        let services = &self.config.services;
+        services.iter().any(|s| s.as_str() == service)
+    }
+
+    fn take_slot(&self) -> Option<Slot<'_>> {
+        let most = self.config.slots.0;
+        let more = |n| (n < most).then_some(n + 1);
+        self.running
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, more)
+            .ok()?;
+        Some(Slot {
+            running: &self.running,
+        })
+    }
+
+    /// Runs a task. Dropping the future cancels it and frees its slot.
+    async fn run(&self, headers: &HeaderMap, body: &[u8], slot: Slot<'_>) -> Response<Full<Bytes>> {
+        let reply = TaskReply {
+            job: header(headers, JOB_HEADER).into(),
+            task: header(headers, TASK_HEADER).into(),
+            minion: self.config.id.clone(),
+        };
+        self.ledger.start(Start {
+            job: reply.job.clone(),
+            task: reply.task.clone(),
+            minion: reply.minion.clone(),
+            incarnation: header(headers, INCARNATION_HEADER).into(),
+            at: Instant::now(),
+        });
+        if self.failing.load(Ordering::SeqCst) {
+            return empty(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+        let Ok(payload) = serde_json::from_slice::<Payload>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let factor = f64::from_bits(self.factor.load(Ordering::SeqCst));
+        let micros = payload.run_ms as f64 * 1000.0 * factor;
+        tokio::time::sleep(Duration::from_micros(micros as u64)).await;
+        drop(slot);
+        match payload.fails {
+            true => empty(StatusCode::INTERNAL_SERVER_ERROR),
+            false => json(StatusCode::OK, &reply),
+        }
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name).and_then(|v| v.to_str().ok());
+    value.unwrap_or_default()
+}
+
+fn not_started() -> Response<Full<Bytes>> {
+    let mut res = empty(StatusCode::SERVICE_UNAVAILABLE);
+    let no = HeaderValue::from_static("no");
+    res.headers_mut().insert(STARTED_HEADER, no);
+    res
+}
