--- /dev/null
+++ b/components/routing/src/digest.rs
@@ -0,0 +1,41 @@
+//! What a VM tells its peers on heartbeats.
+
+use kernel::{Domain, Millis};
+use serde::{Deserialize, Serialize};
+
+/// The most minions whose load a digest carries.
+pub(crate) const MAX_LOADS: usize = 512;
+
+/// The most minions of which a digest carries evidence.
+pub(crate) const MAX_EVIDENCE: usize = 32;
+
+/// A VM's view in at most about a kilobyte: one byte a minion of its domain
+/// and 14 bytes for each of at most 32 suspects.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct Digest {
+    /// The sender's domain; `None` only in the empty digest.
+    pub domain: Option<Domain>,
+    /// A hash of the domain's minions, in whose order `loads` stands.
+    pub members: u64,
+    /// The sender's tasks on each minion of its domain, in the order of ids.
+    pub loads: Vec<u8>,
+    /// Free slots in the domain, as the sender believes.
+    pub free: u32,
+    /// All slots in the domain.
+    pub slots: u32,
+    /// Minions that failed tasks of the sender.
+    pub evidence: Vec<Evidence>,
+}
+
+/// A minion that failed tasks of the sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Evidence {
+    /// The hash of the minion's id.
+    pub minion: u64,
+    /// Failures since the last good answer.
+    pub fails: u8,
+    /// How much longer the sender keeps the minion ejected.
+    pub hold: Millis,
+}
--- /dev/null
+++ b/components/routing/src/shared.rs
@@ -0,0 +1,474 @@
+//! What a fleet shares with the slots that it has given out.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
+
+use arc_swap::ArcSwap;
+use kernel::{Domain, HashMap, Millis, Timestamp, VmId};
+
+use crate::config::RoutingConfig;
+use crate::demand::Demand;
+use crate::digest::{Digest, Evidence, MAX_EVIDENCE, MAX_LOADS};
+use crate::fleet::lock;
+use crate::health::{Mode, fails_needed};
+use crate::minion::{MinionInfo, MinionStatus, Node};
+use crate::remote::Remotes;
+use crate::slot::Finish;
+use crate::table::{Offer, Table};
+
+/// How often loads are summed up and minions reopened.
+const REFRESH: Millis = Millis(20);
+
+/// A VM whose turn it is not waits this much longer before it probes.
+const PROBE_TURN: Millis = Millis(2000);
+
+/// Tasks in flight for so many mean run times make a minion suspect.
+const STUCK: u64 = 6;
+
+/// A single task in flight may take so many mean run times.
+const STUCK_ALONE: u64 = 12;
+
+/// The weight of one answer in the ordinary failure rate.
+const RATE_WEIGHT: f64 = 1.0 / 512.0;
+
+/// What a peer VM said last.
+#[derive(Debug)]
+struct Peer {
+    /// When it came.
+    at: Timestamp,
+    /// What it said.
+    digest: Digest,
+}
+
+/// The state behind a fleet and its slots.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    /// The VM's failure domain.
+    home: Domain,
+    /// The settings.
+    cfg: RoutingConfig,
+    /// Whether outliers are ejected.
+    outliers: bool,
+    /// The minions.
+    pub(crate) table: ArcSwap<Table>,
+    /// Held while the table is built and swapped.
+    writer: Mutex<()>,
+    /// This VM's rank among the domain's live VMs.
+    rank: AtomicUsize,
+    /// The number of the domain's live VMs.
+    live: AtomicUsize,
+    /// Peers' digests, by VM.
+    peers: Mutex<HashMap<VmId, Peer>>,
+    /// What is known of other domains.
+    remotes: Mutex<Remotes>,
+    /// The ordinary failure rate, as the bits of an `f64`.
+    rate: AtomicU64,
+    /// When minions were last reopened, in microseconds of [`Timestamp`].
+    refreshed: AtomicU64,
+    /// Own tasks on the home domain's minions at the last refresh.
+    busy: AtomicU32,
+    /// Slots given back that nobody held.
+    pub(crate) broken: AtomicU64,
+}
+
+impl Shared {
+    /// Starts without minions.
+    pub(crate) fn new(home: Domain, cfg: RoutingConfig, outliers: bool) -> Shared {
+        let table = Table::build(&[], &home, |_| 0, None);
+        Shared {
+            home,
+            cfg,
+            outliers,
+            table: ArcSwap::from_pointee(table),
+            writer: Mutex::new(()),
+            rank: AtomicUsize::new(0),
+            live: AtomicUsize::new(1),
+            peers: Mutex::default(),
+            remotes: Mutex::default(),
+            rate: AtomicU64::new(0f64.to_bits()),
+            refreshed: AtomicU64::new(0),
+            busy: AtomicU32::new(0),
+            broken: AtomicU64::new(0),
+        }
+    }
+
+    /// Swaps in a table of these minions.
+    pub(crate) fn update(&self, minions: &[MinionInfo]) {
+        let _writer = lock(&self.writer);
+        let old = self.table.load_full();
+        let near = |domain: &Domain| self.trip(domain).micros();
+        let table = Table::build(minions, &self.home, near, Some(&old));
+        // The new table has all minions open, and slots freed from here on
+        // reopen theirs in it, so that none is lost between the two.
+        self.table.store(Arc::new(table));
+        self.sum_loads(Timestamp(self.refreshed.load(Ordering::Relaxed)));
+    }
+
+    /// Sets the rank among the domain's live VMs.
+    pub(crate) fn set_peers(&self, rank: usize, live: usize) {
+        let live = live.max(1);
+        self.live.store(live, Ordering::Relaxed);
+        self.rank.store(rank.min(live - 1), Ordering::Relaxed);
+    }
+
+    /// Returns this VM's part of a minion's slots. Over all ranks the parts
+    /// add up to the slots; which rank gets the odd ones differs by minion.
+    pub(crate) fn share(&self, node: &Node) -> u32 {
+        let live = self.live.load(Ordering::Relaxed) as u32;
+        if live == 1 {
+            return node.info.slots.0;
+        }
+        let place = self.place(node);
+        let odd = place < node.info.slots.0 % live;
+        node.info.slots.0 / live + u32::from(odd)
+    }
+
+    /// Returns this VM's place in the order of VMs for one minion.
+    fn place(&self, node: &Node) -> u32 {
+        let live = self.live.load(Ordering::Relaxed) as u64;
+        let rank = self.rank.load(Ordering::Relaxed) as u64;
+        ((rank + node.hash % live) % live) as u32
+    }
+
+    /// Returns the extra round trip to a domain.
+    fn trip(&self, domain: &Domain) -> Millis {
+        self.cfg.trips.get(domain).copied().unwrap_or(self.cfg.trip)
+    }
+
+    /// Marks a minion open after one of its slots was freed.
+    pub(crate) fn reopen(&self, node: &Arc<Node>) {
+        let table = self.table.load();
+        let at = node.state.index.load(Ordering::SeqCst);
+        let now = table.nodes.get(at);
+        if now.is_some_and(|n| Arc::ptr_eq(&n.state, &node.state)) {
+            table.open.set(at);
+        }
+    }
+
+    /// Refreshes if that is due; one thread does it.
+    pub(crate) fn refresh_due(&self, now: Timestamp) {
+        let last = self.refreshed.load(Ordering::Relaxed);
+        if now.0 < last.saturating_add(REFRESH.micros()) {
+            return;
+        }
+        let swap =
+            self.refreshed
+                .compare_exchange(last, now.0, Ordering::Relaxed, Ordering::Relaxed);
+        if swap.is_ok() {
+            self.refresh(now);
+        }
+    }
+
+    /// Sums up loads, judges stuck tasks, keeps ejections within bounds and
+    /// reopens minions.
+    fn refresh(&self, now: Timestamp) {
+        self.sum_loads(now);
+        let table = self.table.load();
+        if self.outliers {
+            self.suspect_stuck(&table, now);
+            self.bound_ejections(&table, now);
+        }
+        for (at, node) in table.nodes.iter().enumerate() {
+            if node.state.own.load(Ordering::Relaxed) < node.info.slots.0 {
+                table.open.set(at);
+            }
+        }
+    }
+
+    /// Sums the loads that peers reported, and drops peers not heard of.
+    fn sum_loads(&self, now: Timestamp) {
+        let table = self.table.load();
+        let mut peers = lock(&self.peers);
+        peers.retain(|_, p| now.since(p.at) < self.cfg.peer_ttl);
+        let same: Vec<_> = peers
+            .values()
+            .filter(|p| p.digest.members == table.members)
+            .collect();
+        let mut busy = 0;
+        for (i, &at) in table.home.iter().enumerate() {
+            let state = &table.nodes[at].state;
+            let loads = same.iter().filter_map(|p| p.digest.loads.get(i));
+            let sum = loads.map(|&n| u32::from(n)).sum();
+            state.peers.store(sum, Ordering::Relaxed);
+            busy += state.own.load(Ordering::Relaxed);
+        }
+        self.busy.store(busy, Ordering::Relaxed);
+    }
+
+    /// Suspects minions whose tasks have been in flight for too long.
+    fn suspect_stuck(&self, table: &Table, now: Timestamp) {
+        for offer in table.offers.values() {
+            let run = offer.demand.run();
+            for at in offer.local.iter() {
+                let state = &table.nodes[at].state;
+                let own = u64::from(state.own.load(Ordering::SeqCst));
+                let starts = state.starts.load(Ordering::SeqCst);
+                let age = (now.0 * own).saturating_sub(starts);
+                let factor = if own == 1 { STUCK_ALONE } else { STUCK };
+                if own > 0 && age / own > factor * run && state.mode() == Mode::Normal {
+                    set_mode(&table.nodes[at], Mode::Suspect);
+                }
+            }
+        }
+    }
+
+    /// Readmits the minions whose hold ends first where too many are ejected,
+    /// because then the fault is likely elsewhere.
+    fn bound_ejections(&self, table: &Table, now: Timestamp) {
+        let mut domains: HashMap<&Domain, (usize, Vec<&Arc<Node>>)> = HashMap::default();
+        for node in table.nodes.iter().filter(|n| !n.info.leaving) {
+            let (all, held) = domains.entry(&node.info.domain).or_default();
+            *all += 1;
+            if node.state.mode() == Mode::Ejected && closed(node) > now {
+                held.push(node);
+            }
+        }
+        for (all, mut held) in domains.into_values() {
+            let max = max_ejected(all, self.cfg.eject_max);
+            if held.len() <= max {
+                continue;
+            }
+            held.sort_by_key(|n| closed(n));
+            for node in &held[..held.len() - max] {
+                set_mode(node, Mode::Suspect);
+                node.state.closed.store(0, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Learns from the end of a task.
+    pub(crate) fn learn(&self, node: &Arc<Node>, demand: &Demand, end: Finish, now: Timestamp) {
+        self.learn_domain(node, end, now);
+        match end {
+            Finish::Answered { run } => self.answered(node, demand.ran(run), now),
+            Finish::TaskFailed | Finish::Lost => self.failed(node, now),
+            Finish::NotStarted => {
+                let back = lock(&node.state.health).refused();
+                node.state.close(now.after(back));
+            }
+            Finish::Cancelled => {}
+        }
+    }
+
+    /// Learns what the end of a task shows of another domain.
+    fn learn_domain(&self, node: &Node, end: Finish, now: Timestamp) {
+        let domain = &node.info.domain;
+        if *domain == self.home {
+            return;
+        }
+        match end {
+            Finish::Answered { .. } | Finish::TaskFailed => lock(&self.remotes).answered(domain),
+            Finish::Lost | Finish::NotStarted => lock(&self.remotes).failed(domain, now),
+            Finish::Cancelled => {}
+        }
+    }
+
+    /// Notes a good answer.
+    fn answered(&self, node: &Arc<Node>, ratio: f64, now: Timestamp) {
+        self.count_rate(false);
+        let mode = node.state.mode();
+        let slow = lock(&node.state.health).answered(ratio, mode != Mode::Normal);
+        if slow && self.outliers {
+            self.eject(node, now);
+            return;
+        }
+        // A task sent before the hold may answer during it; only a probe
+        // readmits.
+        if mode == Mode::Ejected && closed(node) > now {
+            return;
+        }
+        set_mode(node, Mode::Normal);
+        node.state.closed.store(0, Ordering::Relaxed);
+    }
+
+    /// Notes a failure.
+    fn failed(&self, node: &Arc<Node>, now: Timestamp) {
+        let own = lock(&node.state.health).failed();
+        // Only the first of a row counts, or one bad minion would raise the
+        // rate that it is judged by.
+        if own == 1 {
+            self.count_rate(true);
+        }
+        if self.outliers {
+            self.judge(node, own, now);
+        }
+    }
+
+    /// Ejects a minion that failed too often over all VMs, or suspects it.
+    fn judge(&self, node: &Arc<Node>, own: u32, now: Timestamp) {
+        let held = node.state.mode() == Mode::Ejected && closed(node) > now;
+        if held {
+            return;
+        }
+        let rate = f64::from_bits(self.rate.load(Ordering::Relaxed));
+        let probe = node.state.mode() == Mode::Ejected;
+        if probe || own + self.peer_fails(node) >= fails_needed(rate) {
+            self.eject(node, now);
+        } else {
+            set_mode(node, Mode::Suspect);
+        }
+    }
+
+    /// Counts the failures in a row that peers reported of a minion.
+    fn peer_fails(&self, node: &Node) -> u32 {
+        let peers = lock(&self.peers);
+        let all = peers.values().flat_map(|p| &p.digest.evidence);
+        all.filter(|e| e.minion == node.hash)
+            .map(|e| u32::from(e.fails))
+            .sum()
+    }
+
+    /// Starts a hold. One VM of the domain probes first, the others later, so
+    /// that a probe costs one job and not one for each VM.
+    fn eject(&self, node: &Arc<Node>, now: Timestamp) {
+        let end = lock(&node.state.health).hold(&self.cfg, now);
+        set_mode(node, Mode::Ejected);
+        node.state.close(self.turn(node, end));
+    }
+
+    /// Returns when this VM may probe a minion whose hold ends at `end`.
+    fn turn(&self, node: &Node, end: Timestamp) -> Timestamp {
+        let place = u64::from(self.place(node));
+        end.after(Millis(PROBE_TURN.0 * place))
+    }
+
+    /// Moves the ordinary failure rate.
+    fn count_rate(&self, failed: bool) {
+        let rate = f64::from_bits(self.rate.load(Ordering::Relaxed));
+        let seen = if failed { 1.0 } else { 0.0 };
+        let next = rate + RATE_WEIGHT * (seen - rate);
+        self.rate.store(next.to_bits(), Ordering::Relaxed);
+    }
+
+    /// Tells whether waiting here takes longer than the trip to a domain that
+    /// has room.
+    pub(crate) fn may_spill(&self, offer: &Offer, domain: &Domain, now: Timestamp) -> bool {
+        let wait = offer.demand.wait(self.busy.load(Ordering::Relaxed));
+        let alone = offer.local.is_empty();
+        if !alone && wait <= self.trip(domain).micros() {
+            return false;
+        }
+        lock(&self.remotes).open(domain, self.cfg.peer_ttl, now)
+    }
+
+    /// Notes that a task goes to another domain.
+    pub(crate) fn spilled(&self, domain: &Domain, now: Timestamp) {
+        lock(&self.remotes).sent(domain, self.cfg.peer_ttl, now);
+    }
+
+    /// Sums up this VM's view.
+    pub(crate) fn digest(&self, now: Timestamp) -> Digest {
+        self.refresh(now);
+        let table = self.table.load();
+        let home = || table.home.iter().map(|&at| &table.nodes[at]);
+        let own = |n: &Arc<Node>| n.state.own.load(Ordering::Relaxed).min(255) as u8;
+        Digest {
+            domain: Some(self.home.clone()),
+            members: table.members,
+            loads: home().take(MAX_LOADS).map(own).collect(),
+            free: home().map(|n| free(n)).sum(),
+            slots: home().map(|n| n.info.slots.0).sum(),
+            evidence: home()
+                .filter_map(|n| evidence(n, now))
+                .take(MAX_EVIDENCE)
+                .collect(),
+        }
+    }
+
+    /// Takes in a peer's view.
+    pub(crate) fn absorb(&self, from: &VmId, digest: &Digest, now: Timestamp) {
+        let Some(domain) = &digest.domain else {
+            return;
+        };
+        if *domain != self.home {
+            lock(&self.remotes).heard(domain, digest.free, digest.slots, now);
+            return;
+        }
+        let peer = Peer {
+            at: now,
+            digest: digest.clone(),
+        };
+        lock(&self.peers).insert(from.clone(), peer);
+        if self.outliers {
+            self.weigh(&digest.evidence, now);
+        }
+        self.refresh(now);
+    }
+
+    /// Acts on a peer's evidence.
+    fn weigh(&self, evidence: &[Evidence], now: Timestamp) {
+        let table = self.table.load();
+        for seen in evidence {
+            let known = table.home.iter().map(|&at| &table.nodes[at]);
+            let Some(node) = known.clone().find(|n| n.hash == seen.minion) else {
+                continue;
+            };
+            if seen.hold > Millis(0) {
+                set_mode(node, Mode::Ejected);
+                node.state.close(self.turn(node, now.after(seen.hold)));
+                continue;
+            }
+            let own = lock(&node.state.health).fails;
+            if seen.fails > 0 {
+                self.judge(node, own, now);
+            }
+        }
+    }
+
+    /// Lists all minions.
+    pub(crate) fn status(&self) -> Vec<MinionStatus> {
+        let table = self.table.load();
+        let row = |n: &Arc<Node>| MinionStatus {
+            id: n.info.id.clone(),
+            domain: n.info.domain.clone(),
+            slots: n.info.slots,
+            own: n.state.own.load(Ordering::Relaxed),
+            peers: n.state.peers.load(Ordering::Relaxed),
+            mode: n.state.mode(),
+            leaving: n.info.leaving,
+        };
+        table.nodes.iter().map(row).collect()
+    }
+}
+
+/// Returns how many of a domain's minions may be ejected.
+fn max_ejected(all: usize, percent: u32) -> usize {
+    let part = all * percent as usize / 100;
+    let least = usize::from(all >= 2 && percent > 0);
+    part.max(least)
+}
+
+/// Sets how far a minion is trusted.
+fn set_mode(node: &Node, mode: Mode) {
+    node.state.mode.store(mode as u8, Ordering::Relaxed);
+}
+
+/// Returns when a minion may be picked again.
+fn closed(node: &Node) -> Timestamp {
+    Timestamp(node.state.closed.load(Ordering::Relaxed))
+}
+
+/// Counts the places that a healthy minion has free, as far as known.
+fn free(node: &Node) -> u32 {
+    if node.info.leaving || node.state.mode() != Mode::Normal {
+        return 0;
+    }
+    let own = node.state.own.load(Ordering::Relaxed);
+    let peers = node.state.peers.load(Ordering::Relaxed);
+    node.info.slots.0.saturating_sub(own + peers)
+}
+
+/// Returns what this VM itself has against a minion.
+fn evidence(node: &Node, now: Timestamp) -> Option<Evidence> {
+    let health = lock(&node.state.health);
+    let hold = health.until.since(now);
+    if health.fails == 0 && hold == Millis(0) {
+        return None;
+    }
+    Some(Evidence {
+        minion: node.hash,
+        fails: health.fails.min(255) as u8,
+        hold,
+    })
+}
