--- a/components/routing/src/bits.rs
+++ b/components/routing/src/bits.rs
@@ -18,7 +18,7 @@
     pub(crate) fn full(len: usize) -> AtomicBits {
         let mut words: Vec<_> = (0..len.div_ceil(WORD)).map(|_| u64::MAX).collect();
         if let Some(last) = words.last_mut()
-            && len % WORD != 0
+            && !len.is_multiple_of(WORD)
         {
             *last = (1 << (len % WORD)) - 1;
         }
--- a/components/routing/src/digest.rs
+++ b/components/routing/src/digest.rs
@@ -11,8 +11,7 @@
 
 /// A VM's view in at most about a kilobyte: one byte a minion of its domain
 /// and 14 bytes for each of at most 32 suspects.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Digest {
     /// The sender's domain; `None` only in the empty digest.
     pub domain: Option<Domain>,
@@ -29,8 +28,7 @@
 }
 
 /// A minion that failed tasks of the sender.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
     /// The hash of the minion's id.
     pub minion: u64,
--- a/components/routing/src/fleet.rs
+++ b/components/routing/src/fleet.rs
@@ -237,12 +237,8 @@
             if !self.usable(node, &load, now) {
                 return false;
             }
-            let swap = own.compare_exchange(
-                load.own,
-                load.own + 1,
-                Ordering::SeqCst,
-                Ordering::SeqCst,
-            );
+            let swap =
+                own.compare_exchange(load.own, load.own + 1, Ordering::SeqCst, Ordering::SeqCst);
             if swap.is_ok() {
                 node.state.starts.fetch_add(now.0, Ordering::SeqCst);
                 return true;
--- a/components/routing/src/health.rs
+++ b/components/routing/src/health.rs
@@ -7,8 +7,7 @@
 use crate::config::RoutingConfig;
 
 /// How far a minion is trusted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Mode {
     /// It gets tasks as its load allows.
--- a/components/routing/src/minion.rs
+++ b/components/routing/src/minion.rs
@@ -29,8 +29,7 @@
 }
 
 /// What operators see of a minion.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct MinionStatus {
     /// The minion's id.
     pub id: MinionId,
--- a/components/routing/src/policy.rs
+++ b/components/routing/src/policy.rs
@@ -87,25 +87,23 @@
 
 /// Own and peers' tasks together, with slots beyond the own part taken only
 /// where peers leave room (docs/design/routing.md).
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct Balanced {
     /// Slots that stay free for peers where this VM is beyond its own part.
     pub margin: u32,
 }
 
-impl Default for Balanced {
-    fn default() -> Balanced {
-        Balanced { margin: 0 }
-    }
-}
-
 impl Policy for Balanced {
     const NAME: &'static str = "balanced";
     const CHOICES: usize = 3;
     const OUTLIERS: bool = true;
 
     fn open(&self, load: &Load) -> bool {
-        let margin = if load.own < load.share { 0 } else { self.margin };
+        let margin = if load.own < load.share {
+            0
+        } else {
+            self.margin
+        };
         load.own + load.peers + margin < load.slots
     }
 
