--- /dev/null
+++ b/components/entry/src/control.rs
@@ -0,0 +1,272 @@
+//! The loops that keep a VM's beliefs up to date. They hold no job up: the
+//! request path reads the snapshots that they publish.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::{Clock, MinionId, Offset, Slots, Team};
+use limits::Share;
+use platform::{Listing, Platform, Presence, Stream};
+use routing::{MinionInfo, Policy};
+use timeline::{EventKind, Note};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+use wire::Connect;
+
+use crate::beat::{ask_peers, beat_due};
+use crate::claimer::Applied;
+use crate::core::Core;
+use crate::message::CLAIMS_PATH;
+use crate::message::ClaimsReply;
+use crate::pass::ask;
+
+/// How often heartbeats that are due are looked for.
+const BEAT_LOOK: Duration = Duration::from_millis(50);
+
+/// How often queues are served without a slot having been given back here.
+const SERVE_LOOK: Duration = Duration::from_millis(5);
+
+/// How often the platform's list is read.
+const LIST_LOOK: Duration = Duration::from_millis(500);
+
+/// The pause after the platform could not be reached.
+const AWAY_PAUSE: Duration = Duration::from_millis(200);
+
+/// How often claims that were not read back are looked for.
+const EXPIRE_LOOK: Duration = Duration::from_millis(20);
+
+/// How often it is decided whether to write the sheet again.
+const RENEW_LOOK: Duration = Duration::from_secs(1);
+
+/// The longest wait for a peer's claims.
+const CLAIMS_WAIT: Duration = Duration::from_secs(3);
+
+/// Starts all loops.
+pub fn start<C: Connect, P: Policy>(core: &Arc<Core<C, P>>) {
+    tokio::spawn(serve_queues(core.clone()));
+    tokio::spawn(send_beats(core.clone()));
+    tokio::spawn(read_list(core.clone()));
+    tokio::spawn(read_sheets(core.clone()));
+    tokio::spawn(apply_beliefs(core.clone()));
+    tokio::spawn(renew_sheet(core.clone()));
+    tokio::spawn(read_claims(core.clone()));
+    tokio::spawn(expire_claims(core.clone()));
+    let core = core.clone();
+    tokio::spawn(async move { core.claimer.append_all(&core.platform).await });
+}
+
+async fn serve_queues<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
+    let mut look = interval(SERVE_LOOK);
+    look.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        look.tick().await;
+        core.dispatch.tick();
+    }
+}
+
+async fn send_beats<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
+    let mut look = interval(BEAT_LOOK);
+    look.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        look.tick().await;
+        beat_due(&core);
+        core.publish_view();
+    }
+}
+
+async fn read_list<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
+    loop {
+        if let Ok(listing) = core.platform.list().await {
+            core.take_listing(Arc::new(listing));
+        }
+        sleep(LIST_LOOK).await;
+    }
+}
+
+async fn read_sheets<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
+    let wait = core.cfg.log.read_wait;
+    loop {
+        let answer = core.platform.read(Stream::Sheet, core.sheets.next(), wait).await;
+        match answer {
+            Ok(chunk) => {
+                let behind = core.sheets.apply(&chunk);
+                if behind {
+                    ask_peers(&core).await;
+                    sleep(AWAY_PAUSE).await;
+                }
+            }
+            Err(_) => {
+                if !core.sheets.known() {
+                    ask_peers(&core).await;
+                }
+                sleep(AWAY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn renew_sheet<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
+    loop {
+        sleep(RENEW_LOOK).await;
+        let rank = core.view.load().rank();
+        let (now, wall) = (core.now(), core.clock.wall());
+        core.sheets.renew(&core.platform, now, wall, rank).await;
+    }
+}
+
+async fn read_claims<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
+    let wait = core.cfg.log.read_wait;
+    loop {
+        let (from, _) = core.claimer.position();
+        let was_away = core.claimer.away();
+        match core.platform.read(Stream::Claims, from, wait).await {
+            Ok(chunk) => match core.claimer.apply(&chunk) {
+                Applied::Read { .. } if was_away => core.note(Note::new(EventKind::LogBack)),
+                Applied::Read { .. } => {}
+                Applied::Gap => fill_claims(&core, chunk.first).await,
+            },
+            Err(_) => {
+                core.claimer.lose_log();
+                if !was_away {
+                    core.note(Note::new(EventKind::LogAway));
+                }
+                sleep(AWAY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Asks peers for claims that the log has dropped. When every VM that is known
+/// of has answered and none reaches back far enough, the log's own bound holds
+/// and reading goes on at its oldest record.
+async fn fill_claims<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, first: Offset) {
+    let mut silent = false;
+    for addr in core.view.load().known_addrs() {
+        let answer = ask(&core.peers, addr, CLAIMS_PATH, &(), CLAIMS_WAIT).await;
+        match answer {
+            Ok(ClaimsReply { coverage }) => {
+                if core.claimer.import(coverage) {
+                    return;
+                }
+            }
+            Err(_) => silent = true,
+        }
+    }
+    if silent {
+        sleep(AWAY_PAUSE).await;
+        return;
+    }
+    core.claimer.skip_to(first);
+}
+
+async fn expire_claims<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
+    let mut look = interval(EXPIRE_LOOK);
+    look.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        look.tick().await;
+        core.claimer.expire();
+    }
+}
+
+/// What the tables of minions and quotas are made of.
+#[derive(PartialEq)]
+struct Beliefs {
+    /// The sheet in force.
+    sheet: Option<Offset>,
+    /// Which list of machines was last read.
+    listing: usize,
+    /// Minions that peers say are leaving.
+    leaving: BTreeSet<MinionId>,
+    /// This VM's rank among all VMs, and their number.
+    all: (usize, usize),
+    /// This VM's rank among its domain's VMs, and their number.
+    home: (usize, usize),
+}
+
+/// Brings minions, quotas and shares in line with the sheet, the list and the
+/// peers, whenever one of them has changed.
+async fn apply_beliefs<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
+    let mut last = None;
+    loop {
+        let _ = tokio::time::timeout(BEAT_LOOK, core.sheets.changed()).await;
+        let Some(listing) = core.listing.load_full() else {
+            continue;
+        };
+        let now = read_beliefs(&core, &listing);
+        if last.as_ref() != Some(&now) {
+            apply(&core, &listing, &now);
+            last = Some(now);
+        }
+    }
+}
+
+fn read_beliefs<C: Connect, P: Policy>(core: &Core<C, P>, listing: &Arc<Listing>) -> Beliefs {
+    let view = core.view.load();
+    Beliefs {
+        sheet: core.sheets.version(),
+        listing: Arc::as_ptr(listing) as usize,
+        leaving: view.leaving().clone(),
+        all: (view.rank(), view.live_count()),
+        home: (view.home_rank(), view.home_count()),
+    }
+}
+
+fn apply<C: Connect, P: Policy>(core: &Core<C, P>, listing: &Listing, beliefs: &Beliefs) {
+    let Some(held) = core.sheets.held() else {
+        return;
+    };
+    let minions: Vec<_> = listing
+        .minions
+        .iter()
+        .map(|row| MinionInfo {
+            id: row.id.clone(),
+            domain: row.domain.clone(),
+            addr: row.addr,
+            services: allowed(&held.sheet, row),
+            slots: row.slots,
+            cores: row.cores,
+            leaving: row.presence == Presence::Leaving || beliefs.leaving.contains(&row.id),
+        })
+        .collect();
+    core.dispatch.fleet.update(&minions);
+    core.dispatch.share_with(beliefs.home.0, beliefs.home.1);
+    core.claimer.share_with(beliefs.all.1);
+    set_quotas(core, &held.sheet, listing, beliefs);
+}
+
+/// Returns the services of a minion that the sheet gives any slot there.
+fn allowed(sheet: &sheet::Sheet, row: &platform::MinionRow) -> Vec<kernel::Service> {
+    let given = |s: &&kernel::Service| {
+        let slots = sheet.service_slots(s, &row.domain);
+        slots.is_some_and(|n| n > Slots(0))
+    };
+    row.services.iter().filter(given).cloned().collect()
+}
+
+fn set_quotas<C: Connect, P: Policy>(
+    core: &Core<C, P>,
+    sheet: &sheet::Sheet,
+    listing: &Listing,
+    beliefs: &Beliefs,
+) {
+    let share = |(rank, live)| Share {
+        vm: core.me.vm.clone(),
+        rank,
+        live,
+    };
+    let home = &core.cfg.domain;
+    let teams: BTreeSet<Team> = sheet.teams().cloned().collect();
+    let total = |t: &Team| Some((t.clone(), sheet.team_total(t)?));
+    let local = |t: &Team| Some((t.clone(), sheet.team_quota(t, home)?));
+    let totals: Vec<_> = teams.iter().filter_map(total).collect();
+    let locals: Vec<_> = teams.iter().filter_map(local).collect();
+    core.dispatch.teams.update(&totals, share(beliefs.all));
+    core.dispatch.home_teams.update(&locals, share(beliefs.home));
+    let services: BTreeSet<_> = listing.minions.iter().flat_map(|m| &m.services).collect();
+    let given = |s: &&kernel::Service| {
+        let slots = sheet.service_slots(s, home)?;
+        Some((crate::dispatch::as_team(s), slots))
+    };
+    let caps: Vec<_> = services.iter().filter_map(given).collect();
+    core.dispatch.services.update(&caps, share(beliefs.home));
+}
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -4,7 +4,9 @@
 
 use jobs::{Coverage, JobSpec, Kept, Outcome, WindowState};
 use kernel::{Incarnation, JobKey, Millis, VmId};
+use platform::Listing;
 use serde::{Deserialize, Serialize};
+use sheet::Snapshot;
 
 /// Passes a job to the only VM that may start it.
 pub const PASS_PATH: &str = "/peer/v1/pass";
@@ -16,8 +18,8 @@
 pub const FIND_PATH: &str = "/peer/v1/find";
 /// Exchanges heartbeats.
 pub const BEAT_PATH: &str = "/peer/v1/beat";
-/// Asks for the sheet in force.
-pub const SHEET_PATH: &str = "/peer/v1/sheet";
+/// Asks for the sheet and the machines known.
+pub const STATE_PATH: &str = "/peer/v1/state";
 /// Asks for the claims known.
 pub const CLAIMS_PATH: &str = "/peer/v1/claims";
 /// Hands windows and kept answers to a successor.
@@ -88,3 +90,13 @@
 /// The longest that one message waits for a job's outcome before the owner
 /// answers [`PassReply::Running`], so that a silent connection is noticed.
 pub const POLL_WAIT: Millis = Millis(1_000);
+
+/// What a VM tells a peer that lags or has just started.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct PeerState {
+    /// The sheet, if the VM knows where it stands.
+    pub sheet: Option<Snapshot>,
+    /// The platform's list of machines as last read.
+    pub listing: Option<Arc<Listing>>,
+}
--- /dev/null
+++ b/components/entry/src/sheets.rs
@@ -0,0 +1,192 @@
+//! The sheet in force: read from the log, given to and taken from peers, and
+//! written again before it expires.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use kernel::{Millis, Offset, Timestamp};
+use platform::{Chunk, Platform, Stream};
+use sheet::{Adopted, Held, LogExtent, RenewalRule, SheetLog, SheetRecord, Snapshot, Verdict};
+use timeline::{EventKind, Note, Recorder};
+use tokio::sync::Notify;
+
+/// What the control loop decides with.
+struct State {
+    /// The reader of the log.
+    log: SheetLog,
+    /// When to write the sheet again.
+    rule: RenewalRule,
+    /// What the log keeps, as last read.
+    extent: Option<LogExtent>,
+}
+
+/// The sheet, as this VM knows it.
+pub struct Sheets {
+    /// The deterministic part.
+    state: Mutex<State>,
+    /// The sheet in force, for readers that must not wait.
+    held: ArcSwapOption<Held>,
+    /// Told when another sheet came into force.
+    changed: Notify,
+    /// Gets events.
+    recorder: Recorder,
+}
+
+impl Sheets {
+    /// Makes a reader that knows no sheet yet, for a log that keeps records
+    /// for `retention`.
+    pub fn new(retention: Millis, recorder: Recorder) -> Sheets {
+        Sheets {
+            state: Mutex::new(State {
+                log: SheetLog::new(),
+                rule: RenewalRule::new(retention),
+                extent: None,
+            }),
+            held: ArcSwapOption::empty(),
+            changed: Notify::new(),
+            recorder,
+        }
+    }
+
+    /// Tells whether any sheet is known.
+    pub fn known(&self) -> bool {
+        self.held.load().is_some()
+    }
+
+    /// Returns the sheet in force.
+    pub fn held(&self) -> Option<Arc<Held>> {
+        self.held.load_full()
+    }
+
+    /// Returns the offset of the change whose sheet is in force here.
+    pub fn version(&self) -> Option<Offset> {
+        self.held.load().as_ref().map(|h| h.version)
+    }
+
+    /// Returns the offset to read next.
+    pub fn next(&self) -> Offset {
+        self.lock().log.next()
+    }
+
+    /// Waits until another sheet comes into force.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Returns what became of a change, if it was read not too long ago.
+    pub fn judged(&self, id: sheet::ChangeId) -> Option<sheet::Judged> {
+        self.lock().log.judged(id).cloned()
+    }
+
+    /// Returns the last changes, newest first.
+    pub fn recent(&self) -> Vec<sheet::Past> {
+        let mut past = self.lock().log.snapshot().map_or(Vec::new(), |s| s.past);
+        past.reverse();
+        past
+    }
+
+    /// Returns the counts of what must never happen.
+    pub fn counters(&self) -> sheet::Counters {
+        self.lock().log.counters()
+    }
+
+    /// Returns what a peer that lags needs.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        self.lock().log.snapshot()
+    }
+
+    /// Applies what was read from the log. It answers whether a peer is to be
+    /// asked for what the log no longer has.
+    pub fn apply(&self, chunk: &Chunk) -> bool {
+        let mut state = self.lock();
+        state.extent = Some(LogExtent {
+            first: chunk.first,
+            end: chunk.end,
+        });
+        if state.log.trimmed(chunk.first).is_some() {
+            self.note(EventKind::SheetGap(chunk.first));
+        }
+        for record in &chunk.records {
+            let verdict = state.log.apply(record.offset, &record.data);
+            self.tell(record.offset, &verdict);
+        }
+        let settled = state.log.is_settled();
+        self.publish(state);
+        !settled
+    }
+
+    /// Takes over a peer's sheet if it is newer.
+    pub fn adopt(&self, snapshot: Snapshot) {
+        let version = snapshot.held.as_ref().map(|h| h.version);
+        let mut state = self.lock();
+        let before = state.log.version();
+        let adopted = state.log.adopt(snapshot);
+        let newer = state.log.version() > before;
+        self.publish(state);
+        if let (Adopted::Settled | Adopted::SheetOnly, Some(version), true) =
+            (adopted, version, newer)
+        {
+            self.note(EventKind::SheetAdopted(version));
+        }
+    }
+
+    /// Writes the sheet to the log again if it is this VM's turn.
+    pub async fn renew<S: Platform>(
+        &self,
+        platform: &S,
+        now: Timestamp,
+        wall: Millis,
+        rank: usize,
+    ) {
+        let Some(record) = self.renewal(now, wall, rank) else {
+            return;
+        };
+        if let Ok(offset) = platform.append(Stream::Sheet, record).await {
+            self.note(EventKind::SheetRenewed(offset));
+        }
+    }
+
+    fn renewal(&self, now: Timestamp, wall: Millis, rank: usize) -> Option<Bytes> {
+        let mut state = self.lock();
+        let State { log, rule, extent } = &mut *state;
+        if !rule.due(now, wall, log, (*extent)?, rank) {
+            return None;
+        }
+        let record = SheetRecord::Renewal(log.renewal(wall)?);
+        record.to_json().ok().map(Bytes::from)
+    }
+
+    /// Publishes the sheet in force to readers. An older one never replaces a
+    /// newer one, as the state is locked meanwhile.
+    fn publish(&self, state: MutexGuard<'_, State>) {
+        let version = state.log.version();
+        if version != self.version() {
+            self.held.store(state.log.held().cloned().map(Arc::new));
+            drop(state);
+            self.changed.notify_one();
+        }
+    }
+
+    fn tell(&self, offset: Offset, verdict: &Verdict) {
+        match verdict {
+            Verdict::InForce => self.note(EventKind::SheetInForce(offset)),
+            Verdict::Refused(_) | Verdict::BadRecord(_) => {
+                self.note(EventKind::SheetRefused(offset));
+            }
+            Verdict::Renewed
+            | Verdict::Settled
+            | Verdict::Waiting
+            | Verdict::Repeated
+            | Verdict::Gap(_) => {}
+        }
+    }
+
+    fn note(&self, kind: EventKind) {
+        self.recorder.record(Note::new(kind));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
