sheet: CSV, the log's verdicts, renewals

Cause: the configuration needs one reading of the planners' CSV and one verdict per change at every VM, also when records expire or answers get lost.

--- /dev/null
+++ b/components/sheet/tests/log.rs
@@ -0,0 +1,282 @@
+//! Verdicts of one reader.
+
+mod common;
+
+use common::{accept, change, dice, feed, full, sheet_of, text};
+use kernel::{Millis, Offset};
+use sheet::{
+    Adopted, Base, Body, Gap, RecordFault, Refusal, Renewal, Sheet, SheetLog, SheetRecord, Verdict,
+};
+
+fn renewal(log: &SheetLog) -> String {
+    text(SheetRecord::Renewal(log.renewal(Millis(5)).unwrap()))
+}
+
+#[test]
+fn first_wins() {
+    let rng = &mut dice(1);
+    let mut log = SheetLog::new();
+    let base = accept(&mut log, &full(rng, Base::Empty, 1));
+    let winner = full(rng, Base::At(base), 2);
+    let loser = full(rng, Base::At(base), 3);
+    let version = accept(&mut log, &winner);
+    let Verdict::Refused(Refusal::Stale(conflict)) = feed(&mut log, &loser) else {
+        panic!("stale");
+    };
+    assert_eq!(conflict.version, Some(version));
+    assert_eq!(conflict.winner, Some(winner.id));
+    assert_eq!(conflict.diff.rows[0].to_string(), "team,t1,*: 2 -> 3");
+    assert_eq!(conflict.diff.total, 1);
+    assert_eq!(log.held().unwrap().sheet.as_ref(), &sheet_of(2));
+    let shown = log
+        .judged(loser.id)
+        .unwrap()
+        .refusal
+        .clone()
+        .unwrap()
+        .to_string();
+    assert_eq!(
+        shown,
+        "stale base: beaten by op1's change at offset 1, 1 rows differ"
+    );
+}
+
+#[test]
+fn delta_body() {
+    let rng = &mut dice(2);
+    let mut log = SheetLog::new();
+    let base = accept(&mut log, &full(rng, Base::Empty, 1));
+    let text = "what,name,where,amount\nteam,t1,*,4\n";
+    let wanted = Sheet::parse(text).unwrap();
+    let body = Body::Delta {
+        set: wanted.cells(),
+        drop: vec![["team".into(), "t2".into(), "*".into()]],
+    };
+    accept(&mut log, &change(rng, Base::At(base), body.clone()));
+    assert_eq!(log.held().unwrap().sheet.as_ref(), &wanted);
+    let Verdict::Refused(Refusal::Stale(conflict)) =
+        feed(&mut log, &change(rng, Base::At(base), body))
+    else {
+        panic!("stale");
+    };
+    assert!(conflict.diff.is_empty());
+}
+
+#[test]
+fn bad_rows() {
+    let rng = &mut dice(3);
+    let mut log = SheetLog::new();
+    let cells = ["team", "t1", "*", "-1"].map(Into::into);
+    let bad = change(rng, Base::Empty, Body::Full(vec![cells]));
+    assert!(matches!(
+        feed(&mut log, &bad),
+        Verdict::Refused(Refusal::BadRows(_))
+    ));
+    assert_eq!(log.held(), None);
+    assert!(log.judged(bad.id).is_some());
+}
+
+#[test]
+fn bad_records() {
+    let rng = &mut dice(4);
+    let mut log = SheetLog::new();
+    assert_eq!(
+        log.apply(Offset(0), "{}"),
+        Verdict::BadRecord(RecordFault::Json)
+    );
+    let ahead = full(rng, Base::At(Offset(9)), 1);
+    let fault = RecordFault::Ahead { offset: Offset(9) };
+    assert_eq!(feed(&mut log, &ahead), Verdict::BadRecord(fault));
+    let delta = Body::Delta {
+        set: vec![],
+        drop: vec![],
+    };
+    let baseless = change(rng, Base::Before(Offset(1)), delta);
+    assert_eq!(
+        feed(&mut log, &baseless),
+        Verdict::BadRecord(RecordFault::Baseless)
+    );
+    assert_eq!(log.counters().bad_records, 3);
+    assert_eq!(log.next(), Offset(3));
+}
+
+#[test]
+fn lost_answer() {
+    let rng = &mut dice(5);
+    let mut log = SheetLog::new();
+    let first = full(rng, Base::Empty, 1);
+    let offset = accept(&mut log, &first);
+    // The publisher did not hear of it and appended it again.
+    assert!(matches!(feed(&mut log, &first), Verdict::Refused(_)));
+    let judged = log.judged(first.id).unwrap();
+    assert_eq!((judged.offset, &judged.refusal), (offset, &None));
+}
+
+#[test]
+fn trimmed_start() {
+    let rng = &mut dice(6);
+    let mut old = SheetLog::new();
+    let v0 = accept(&mut old, &full(rng, Base::Empty, 1));
+    let stale = renewal(&old);
+    let v1 = accept(&mut old, &full(rng, Base::At(v0), 2));
+    old.apply(old.next(), &stale);
+
+    // A new reader gets the renewal alone, which speaks of the sheet before
+    // the second change: it must not put that sheet in force.
+    let mut new = SheetLog::new();
+    let gap = Gap {
+        expected: Offset(0),
+        found: Offset(2),
+    };
+    assert_eq!(new.apply(Offset(2), &stale), Verdict::Gap(gap));
+    assert_eq!(new.apply(Offset(2), &stale), Verdict::Waiting);
+    assert_eq!(new.held(), None);
+    assert!(new.snapshot().is_none());
+
+    let change = full(rng, Base::At(v1), 3);
+    let v2 = accept(&mut old, &change);
+    assert_eq!(feed(&mut new, &change), Verdict::Waiting);
+    let again = renewal(&old);
+    assert_eq!(old.apply(old.next(), &again), Verdict::Renewed);
+    assert_eq!(new.apply(new.next(), &again), Verdict::Settled);
+    assert_eq!(new.held(), old.held());
+    assert_eq!(new.version(), Some(v2));
+    assert_eq!(new.judged(change.id), old.judged(change.id));
+}
+
+#[test]
+fn renewal_race() {
+    let rng = &mut dice(7);
+    let mut old = SheetLog::new();
+    let v0 = accept(&mut old, &full(rng, Base::Empty, 1));
+    let raced = renewal(&old);
+    let change = full(rng, Base::At(v0), 2);
+    accept(&mut old, &change);
+    old.apply(old.next(), &raced);
+
+    // From the change on, the renewal seeds the state before the change, and
+    // the change is decided over it.
+    let mut new = SheetLog::new();
+    new.trimmed(Offset(1));
+    assert_eq!(feed(&mut new, &change), Verdict::Waiting);
+    assert_eq!(new.apply(Offset(2), &raced), Verdict::Settled);
+    assert_eq!(new.held(), old.held());
+}
+
+#[test]
+fn expired_unread() {
+    let rng = &mut dice(8);
+    let mut log = SheetLog::new();
+    let v0 = accept(&mut log, &full(rng, Base::Empty, 1));
+    let mut peer = log.clone();
+    for amount in 2..6 {
+        let base = Base::At(peer.version().unwrap());
+        accept(&mut peer, &full(rng, base, amount));
+    }
+    assert!(log.trimmed(Offset(4)).is_some());
+    assert_eq!(log.version(), Some(v0));
+    assert!(!log.is_settled());
+    assert_eq!(log.adopt(peer.snapshot().unwrap()), Adopted::Settled);
+    assert_eq!(log.held(), peer.held());
+    assert_eq!(log.next(), peer.next());
+    assert_eq!(log.adopt(peer.snapshot().unwrap()), Adopted::Behind);
+}
+
+#[test]
+fn sheet_only() {
+    let rng = &mut dice(9);
+    let mut peer = SheetLog::new();
+    let v0 = accept(&mut peer, &full(rng, Base::Empty, 1));
+    let snapshot = peer.snapshot().unwrap();
+    let mut log = SheetLog::new();
+    log.trimmed(Offset(7));
+    assert_eq!(log.adopt(snapshot), Adopted::SheetOnly);
+    assert_eq!(log.version(), Some(v0));
+    assert!(!log.is_settled());
+}
+
+#[test]
+fn forked_peer() {
+    let rng = &mut dice(10);
+    let mut log = SheetLog::new();
+    accept(&mut log, &full(rng, Base::Empty, 1));
+    let mut other = SheetLog::new();
+    accept(&mut other, &full(rng, Base::Empty, 2));
+    other.apply(Offset(1), "x");
+    assert_eq!(log.adopt(other.snapshot().unwrap()), Adopted::Contradicts);
+    assert_eq!(log.counters().forks, 1);
+    let mut empty = SheetLog::new();
+    for _ in 0..3 {
+        empty.apply(empty.next(), "x");
+    }
+    assert_eq!(log.adopt(empty.snapshot().unwrap()), Adopted::Contradicts);
+    assert_eq!(log.counters().reverts, 1);
+    assert_eq!(log.version(), Some(Offset(0)));
+}
+
+#[test]
+fn lost_everywhere() {
+    let rng = &mut dice(11);
+    // No VM knows a sheet and the log's older records are gone.
+    let mut one = SheetLog::new();
+    one.trimmed(Offset(50));
+    let mut two = one.clone();
+    two.trimmed(Offset(51));
+    let plain = full(rng, Base::Empty, 1);
+    assert_eq!(feed(&mut one, &plain), Verdict::Waiting);
+    let replace = full(rng, Base::Before(Offset(51)), 2);
+    assert_eq!(feed(&mut one, &replace), Verdict::Settled);
+    assert_eq!(feed(&mut two, &replace), Verdict::Settled);
+    assert_eq!(one.held(), two.held());
+    assert_eq!(one.version(), Some(Offset(51)));
+    // The same record again is beaten by itself.
+    assert!(matches!(feed(&mut one, &replace), Verdict::Refused(_)));
+    assert!(one.judged(replace.id).unwrap().refusal.is_none());
+}
+
+#[test]
+fn replace_beaten() {
+    let rng = &mut dice(12);
+    let mut log = SheetLog::new();
+    let v0 = accept(&mut log, &full(rng, Base::Empty, 1));
+    let replace = full(rng, Base::Before(log.next()), 9);
+    let mut waiting = SheetLog::new();
+    waiting.trimmed(Offset(1));
+    let change = full(rng, Base::At(v0), 2);
+    accept(&mut log, &change);
+    feed(&mut waiting, &change);
+    assert!(matches!(feed(&mut log, &replace), Verdict::Refused(_)));
+    assert_eq!(feed(&mut waiting, &replace), Verdict::Waiting);
+}
+
+#[test]
+fn wrong_renewal() {
+    let rng = &mut dice(13);
+    let mut log = SheetLog::new();
+    accept(&mut log, &full(rng, Base::Empty, 1));
+    let mut lie: Renewal = log.renewal(Millis(5)).unwrap();
+    lie.held.sheet = sheet_of(7).into();
+    log.apply(log.next(), &text(SheetRecord::Renewal(lie)));
+    assert_eq!(log.counters().forks, 1);
+    assert_eq!(log.held().unwrap().sheet.as_ref(), &sheet_of(1));
+}
+
+#[test]
+fn waiting_bound() {
+    let rng = &mut dice(14);
+    let mut log = SheetLog::new();
+    log.trimmed(Offset(10));
+    let mut peer = SheetLog::new();
+    accept(&mut peer, &full(rng, Base::Empty, 1));
+    let early = {
+        let mut r = peer.renewal(Millis(5)).unwrap();
+        r.read_to = Offset(10);
+        text(SheetRecord::Renewal(r))
+    };
+    let filler = text(SheetRecord::Change(full(rng, Base::At(Offset(3)), 1)));
+    for _ in 0..=sheet::MAX_WAITING {
+        log.apply(log.next(), &filler);
+    }
+    // The renewal speaks of a point that the bounded run no longer reaches.
+    assert_eq!(log.apply(log.next(), &early), Verdict::Waiting);
+}
