--- a/components/entry/src/api.rs
+++ b/components/entry/src/api.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
+use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
-use http_body_util::Full;
 use jobs::{JobSpec, Outcome, Ran, Reason, TaskSpec};
 use kernel::{Cores, JobKey, Millis, Service, TaskId, Team};
 use serde::{Deserialize, Serialize};
@@ -111,7 +111,9 @@
 }
 
 fn read_task(task: TaskBody) -> TaskSpec {
-    let payload = task.payload.map(|p| Bytes::from(String::from(Box::<str>::from(p))));
+    let payload = task
+        .payload
+        .map(|p| Bytes::from(String::from(Box::<str>::from(p))));
     TaskSpec {
         id: task.id,
         payload: payload.unwrap_or_else(|| Bytes::from_static(b"null")),
--- a/components/entry/src/beat.rs
+++ b/components/entry/src/beat.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::Offset;
+use futures::future::join_all;
 use limits::QuotaDigest;
-use membership::{Action, View};
+use membership::{Contact, ListedVm, Listing, Presence, Target};
 use routing::{Digest, Policy};
 use serde::{Deserialize, Serialize};
 use timeline::Stamp;
-use wire::Connect;
+use wire::{CallError, Connect};
 
 use crate::core::Core;
 use crate::message::{BEAT_PATH, PeerState, STATE_PATH};
@@ -23,8 +23,7 @@
 const STATE_WAIT: Duration = Duration::from_secs(2);
 
 /// What a heartbeat carries besides membership.
-#[derive(Debug, Clone, Default)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Load {
     /// The sender's use of minions and what it knows of their health.
     pub fleet: Digest,
@@ -32,7 +31,7 @@
     pub teams: QuotaDigest,
     /// The sender's use of the teams' quotas in its domain.
     pub home_teams: QuotaDigest,
-    /// The sender's use of the services' slots.
+    /// The sender's use of the services' slots in its domain.
     pub services: QuotaDigest,
     /// The sender's hybrid logical clock.
     pub stamp: Stamp,
@@ -41,17 +40,158 @@
 /// A heartbeat.
 pub type Beat = membership::Beat<Load>;
 
-/// Writes the heartbeat that goes to all peers now.
-pub fn write_beat<C: Connect, P: Policy>(core: &Core<C, P>) -> Beat {
+/// Converts the platform's list to what membership knows.
+pub fn listed(listing: &platform::Listing) -> Listing {
+    let vm = |row: &platform::VmRow| ListedVm {
+        id: row.id.clone(),
+        domain: row.domain.clone(),
+        callers: row.callers,
+        peers: row.peers,
+        presence: match row.presence {
+            platform::Presence::Live => Presence::Live,
+            platform::Presence::Leaving => Presence::Leaving,
+        },
+    };
+    let leaving = |row: &&platform::MinionRow| row.presence == platform::Presence::Leaving;
+    let minions = listing.minions.iter().filter(leaving);
+    Listing {
+        vms: listing.vms.iter().map(vm).collect(),
+        leaving: minions.map(|row| row.id.clone()).collect(),
+    }
+}
+
+fn load<C: Connect, P: Policy>(core: &Core<C, P>) -> Load {
     let now = core.now();
-    let load = Load {
-        fleet: core.dispatch.fleet.digest(now),
-        teams: core.dispatch.teams.digest(now),
-        home_teams: core.dispatch.home_teams.digest(now),
-        services: core.dispatch.services.digest(now),
+    let dispatch = &core.dispatch;
+    Load {
+        fleet: dispatch.fleet.digest(now),
+        teams: dispatch.teams.digest(now),
+        home_teams: dispatch.home_teams.digest(now),
+        services: dispatch.services.digest(now),
         stamp: core.recorder.stamp(),
+    }
+}
+
+/// Sends the heartbeats that are due.
+pub fn beat_due<C: Connect, P: Policy>(core: &Arc<Core<C, P>>) {
+    let targets = {
+        let (claims, _) = core.claimer.position();
+        let mut members = core.members();
+        members.set_offsets(core.sheets.version(), Some(claims));
+        members.tick(core.now())
+    };
+    if targets.is_empty() {
+        return;
+    }
+    // One digest goes to all, as digests are counted.
+    let load = load(core);
+    for target in targets {
+        tokio::spawn(beat_one(core.clone(), target, load.clone()));
+    }
+}
+
+/// Sends a heartbeat to every live peer and waits for the answers.
+pub async fn beat_all<C: Connect, P: Policy>(core: &Arc<Core<C, P>>) {
+    let view = core.view.load_full();
+    let live = |p: &&membership::PeerView| p.health == membership::Health::Live;
+    let target = |p: &membership::PeerView| Target {
+        id: p.id.clone(),
+        addr: p.peers,
+        incarnation: p.incarnation,
     };
-    let sheet = core.sheets.version();
-    let (claims, _) = core.claimer.position();
-    core.members().beat(now, sheet, claims, load)
+    let load = load(core);
+    let targets = view.peers.iter().filter(live).map(target);
+    join_all(targets.map(|t| beat_one(core.clone(), t, load.clone()))).await;
+}
+
+async fn beat_one<C: Connect, P: Policy>(core: Arc<Core<C, P>>, target: Target, load: Load) {
+    let beat = core.members().beat(core.now(), &target, load);
+    core.counts.beat_sent();
+    let answer = ask::<_, _, Beat>(&core.peers, target.addr, BEAT_PATH, &beat, BEAT_WAIT).await;
+    match answer {
+        Ok(reply) => {
+            core.members().on_reply(core.now(), &target, &reply);
+            learn(&core, &reply);
+        }
+        Err(PeerError::Call(CallError::Refused)) => {
+            let mut members = core.members();
+            members.on_request(core.now(), &target.id, Contact::Refused);
+        }
+        Err(_) => {
+            // A connection that has gone silent must not be used again.
+            core.peers.forget(target.addr);
+            core.members().on_failure(core.now(), &target);
+        }
+    }
+}
+
+/// Greets an address of the settings, behind which nobody is known yet.
+pub async fn greet<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, addr: SocketAddr) {
+    let target = Target {
+        id: core.me.vm.clone(),
+        addr,
+        incarnation: None,
+    };
+    let beat = core.members().beat(core.now(), &target, load(core));
+    let answer = ask::<_, _, Beat>(&core.peers, addr, BEAT_PATH, &beat, BEAT_WAIT).await;
+    if let Ok(reply) = answer {
+        core.members().on_beat(core.now(), &reply);
+        learn(core, &reply);
+    }
+}
+
+/// Takes in a peer's heartbeat and answers with this VM's own.
+pub fn answer_beat<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, beat: Beat) -> Beat {
+    core.members().on_beat(core.now(), &beat);
+    learn(core, &beat);
+    let load = load(core);
+    core.members().reply(core.now(), &beat.from, load)
+}
+
+/// Takes in what a heartbeat carries besides membership.
+fn learn<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, beat: &Beat) {
+    let now = core.now();
+    let from = &beat.from.id;
+    let load = &beat.note;
+    let dispatch = &core.dispatch;
+    core.recorder.observe(load.stamp);
+    dispatch.teams.absorb(from, &load.teams, now);
+    if beat.from.domain == core.cfg.domain {
+        dispatch.fleet.absorb(from, &load.fleet, now);
+        dispatch.home_teams.absorb(from, &load.home_teams, now);
+        dispatch.services.absorb(from, &load.services, now);
+    }
+    if beat.sheet > core.sheets.version() {
+        tokio::spawn(pull(core.clone(), beat.from.peers));
+    }
+}
+
+/// Takes over a peer's sheet and, while the platform's list is not known, its
+/// list of machines. It answers whether the peer answered.
+pub async fn pull<C: Connect, P: Policy>(core: Arc<Core<C, P>>, addr: SocketAddr) -> bool {
+    let answer = ask::<_, _, PeerState>(&core.peers, addr, STATE_PATH, &(), STATE_WAIT).await;
+    let Ok(state) = answer else {
+        return false;
+    };
+    if let Some(snapshot) = state.sheet {
+        core.sheets.adopt(snapshot);
+    }
+    if let Some(listing) = state.listing
+        && core.listing.load().is_none()
+    {
+        core.take_listing(listing);
+    }
+    true
+}
+
+/// Asks peers for their sheet, those of this domain first, until one answers.
+pub async fn ask_peers<C: Connect, P: Policy>(core: &Arc<Core<C, P>>) {
+    let view = core.view.load_full();
+    let mut peers: Vec<_> = view.peers.iter().collect();
+    peers.sort_by_key(|p| (p.health, p.domain != core.cfg.domain));
+    for peer in peers {
+        if pull(core.clone(), peer.peers).await {
+            return;
+        }
+    }
 }
--- a/components/entry/src/claimer.rs
+++ b/components/entry/src/claimer.rs
@@ -112,11 +112,6 @@
         self.away.load(Ordering::Acquire)
     }
 
-    /// Tells whether all claims in the log are known here.
-    pub fn covered(&self) -> bool {
-        self.covered.load(Ordering::Acquire)
-    }
-
     /// Returns the next offset to read and the number of keys known.
     pub fn position(&self) -> (Offset, usize) {
         let claims = lock(&self.claims);
@@ -294,6 +289,11 @@
         Applied::Read { broken }
     }
 
+    /// Tells whether claims wait to be released.
+    pub fn releasing(&self) -> bool {
+        !lock(&self.batch).releases.is_empty()
+    }
+
     /// Goes on from the oldest record that the log still has.
     pub fn skip_to(&self, first: Offset) {
         lock(&self.claims).skip_to(first);
--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -47,6 +47,8 @@
     pub resolve_wait: Millis,
     /// The longest wait of a read for a record to come.
     pub read_wait: Millis,
+    /// How long the log keeps a record.
+    pub retention: Millis,
 }
 
 impl Default for LogLimits {
@@ -56,6 +58,7 @@
             append_wait: Millis(500),
             resolve_wait: Millis(500),
             read_wait: Millis(1_000),
+            retention: Millis(3_600_000),
         }
     }
 }
@@ -175,6 +178,12 @@
         default: Some("1s"),
         help: "The longest wait of a read for a record to come.",
     },
+    Key {
+        name: "retention",
+        kind: Kind::Span(60_000, 30 * 24 * 3_600_000),
+        default: Some("1h"),
+        help: "How long the log keeps a record.",
+    },
 ];
 
 const POOL_KEYS: &[Key] = &[
@@ -235,6 +244,7 @@
         append_wait: section.get("append_wait").unwrap_or(base.append_wait),
         resolve_wait: section.get("resolve_wait").unwrap_or(base.resolve_wait),
         read_wait: section.get("read_wait").unwrap_or(base.read_wait),
+        retention: section.get("retention").unwrap_or(base.retention),
     });
     Vec::new()
 }
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -7,13 +7,15 @@
 
 use kernel::{Clock, MinionId, Offset, Slots, Team};
 use limits::Share;
+use membership::{Health, PeerView, View};
 use platform::{Listing, Platform, Presence, Stream};
 use routing::{MinionInfo, Policy};
+use sheet::Subject;
 use timeline::{EventKind, Note};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::Connect;
 
-use crate::beat::{ask_peers, beat_due};
+use crate::beat::{ask_peers, beat_due, greet};
 use crate::claimer::Applied;
 use crate::core::Core;
 use crate::message::CLAIMS_PATH;
@@ -45,6 +47,7 @@
 pub fn start<C: Connect, P: Policy>(core: &Arc<Core<C, P>>) {
     tokio::spawn(serve_queues(core.clone()));
     tokio::spawn(send_beats(core.clone()));
+    tokio::spawn(greet_seeds(core.clone()));
     tokio::spawn(read_list(core.clone()));
     tokio::spawn(read_sheets(core.clone()));
     tokio::spawn(apply_beliefs(core.clone()));
@@ -74,6 +77,16 @@
     }
 }
 
+/// Greets the settings' seeds until some peer is known.
+async fn greet_seeds<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
+    while core.view.load().peers.is_empty() {
+        for &addr in &core.cfg.seeds {
+            greet(&core, addr).await;
+        }
+        sleep(AWAY_PAUSE).await;
+    }
+}
+
 async fn read_list<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
     loop {
         if let Ok(listing) = core.platform.list().await {
@@ -86,7 +99,10 @@
 async fn read_sheets<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
     let wait = core.cfg.log.read_wait;
     loop {
-        let answer = core.platform.read(Stream::Sheet, core.sheets.next(), wait).await;
+        let answer = core
+            .platform
+            .read(Stream::Sheet, core.sheets.next(), wait)
+            .await;
         match answer {
             Ok(chunk) => {
                 let behind = core.sheets.apply(&chunk);
@@ -108,7 +124,7 @@
 async fn renew_sheet<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
     loop {
         sleep(RENEW_LOOK).await;
-        let rank = core.view.load().rank();
+        let rank = core.view.load().rank;
         let (now, wall) = (core.now(), core.clock.wall());
         core.sheets.renew(&core.platform, now, wall, rank).await;
     }
@@ -141,8 +157,9 @@
 /// and reading goes on at its oldest record.
 async fn fill_claims<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, first: Offset) {
     let mut silent = false;
-    for addr in core.view.load().known_addrs() {
-        let answer = ask(&core.peers, addr, CLAIMS_PATH, &(), CLAIMS_WAIT).await;
+    let view = core.view.load_full();
+    for peer in view.peers.iter().filter(|p| p.health != Health::Gone) {
+        let answer = ask(&core.peers, peer.peers, CLAIMS_PATH, &(), CLAIMS_WAIT).await;
         match answer {
             Ok(ClaimsReply { coverage }) => {
                 if core.claimer.import(coverage) {
@@ -176,7 +193,7 @@
     /// Which list of machines was last read.
     listing: usize,
     /// Minions that peers say are leaving.
-    leaving: BTreeSet<MinionId>,
+    leaving: Arc<BTreeSet<MinionId>>,
     /// This VM's rank among all VMs, and their number.
     all: (usize, usize),
     /// This VM's rank among its domain's VMs, and their number.
@@ -205,12 +222,23 @@
     Beliefs {
         sheet: core.sheets.version(),
         listing: Arc::as_ptr(listing) as usize,
-        leaving: view.leaving().clone(),
-        all: (view.rank(), view.live_count()),
-        home: (view.home_rank(), view.home_count()),
+        leaving: view.leaving.clone(),
+        all: (view.rank, view.live.max(1)),
+        home: home_rank(&view),
     }
 }
 
+/// Returns this VM's rank among the live VMs of its domain, and their number.
+fn home_rank(view: &View) -> (usize, usize) {
+    let live = |p: &&PeerView| {
+        let serving = p.presence == membership::Presence::Live;
+        p.domain == view.me.domain && serving && p.health == Health::Live
+    };
+    let peers: Vec<_> = view.peers.iter().filter(live).collect();
+    let ahead = peers.iter().filter(|p| p.id < view.me.id).count();
+    (ahead, peers.len() + 1)
+}
+
 fn apply<C: Connect, P: Policy>(core: &Core<C, P>, listing: &Listing, beliefs: &Beliefs) {
     let Some(held) = core.sheets.held() else {
         return;
@@ -243,6 +271,13 @@
     row.services.iter().filter(given).cloned().collect()
 }
 
+fn team_of(row: sheet::Row) -> Option<Team> {
+    match row.key.subject {
+        Subject::Team(team) => Some(team),
+        Subject::Service(_) => None,
+    }
+}
+
 fn set_quotas<C: Connect, P: Policy>(
     core: &Core<C, P>,
     sheet: &sheet::Sheet,
@@ -255,13 +290,15 @@
         live,
     };
     let home = &core.cfg.domain;
-    let teams: BTreeSet<Team> = sheet.teams().cloned().collect();
+    let teams: BTreeSet<Team> = sheet.rows().filter_map(team_of).collect();
     let total = |t: &Team| Some((t.clone(), sheet.team_total(t)?));
     let local = |t: &Team| Some((t.clone(), sheet.team_quota(t, home)?));
     let totals: Vec<_> = teams.iter().filter_map(total).collect();
     let locals: Vec<_> = teams.iter().filter_map(local).collect();
     core.dispatch.teams.update(&totals, share(beliefs.all));
-    core.dispatch.home_teams.update(&locals, share(beliefs.home));
+    core.dispatch
+        .home_teams
+        .update(&locals, share(beliefs.home));
     let services: BTreeSet<_> = listing.minions.iter().flat_map(|m| &m.services).collect();
     let given = |s: &&kernel::Service| {
         let slots = sheet.service_slots(s, home)?;
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -1,13 +1,14 @@
 //! What all parts of an entry VM share.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use arc_swap::ArcSwap;
-use jobs::{JobTable, Owner, Windows};
-use kernel::{Clock, Millis, SystemClock, Timestamp};
-use membership::View;
-use platform::HttpPlatform;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use jobs::{JobSpec, JobTable, Owner, Windows};
+use kernel::{Clock, Incarnation, Millis, SystemClock, Timestamp, VmId};
+use membership::{Membership, View};
+use platform::{HttpPlatform, Listing};
+use rand_xoshiro::Xoshiro256PlusPlus;
 use routing::Policy;
 use timeline::{Note, Recorder};
 use wire::{Client, Connect};
@@ -54,6 +55,10 @@
     pub claimer: Claimer,
     /// Queues and slots.
     pub dispatch: Arc<Dispatch<P>>,
+    /// Decides whom to believe in; never locked on the request path.
+    pub members: Mutex<Membership<Xoshiro256PlusPlus>>,
+    /// The platform's list of machines, as last read.
+    pub listing: ArcSwapOption<Listing>,
     /// The peers, as the control loop last saw them.
     pub view: ArcSwap<View>,
     /// The sheet in force.
@@ -96,9 +101,37 @@
         self.recorder.record(note);
     }
 
+    /// Locks the membership, which only control code does.
+    pub fn members(&self) -> MutexGuard<'_, Membership<Xoshiro256PlusPlus>> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Publishes the peers to readers.
+    pub fn publish_view(&self) {
+        let view = self.members().view(self.now());
+        self.view.store(view);
+    }
+
+    /// Returns the name of the VM that an incarnation runs on, or this VM's own
+    /// while it is not known.
+    pub fn name_of(&self, incarnation: Incarnation) -> VmId {
+        let view = self.view.load();
+        let same = |p: &&membership::PeerView| p.incarnation == Some(incarnation);
+        let peer = view.peers.iter().find(same);
+        peer.map_or_else(|| self.me.vm.clone(), |p| p.id.clone())
+    }
+
+    /// Takes in the platform's list of machines.
+    pub fn take_listing(&self, listing: Arc<Listing>) {
+        let listed = crate::beat::listed(&listing);
+        self.members().on_listing(self.now(), listed);
+        self.listing.store(Some(listing));
+        self.publish_view();
+    }
+
     /// Returns when a refused caller should come back.
-    pub fn retry_after(&self) -> Millis {
-        RETRY_AFTER
+    pub fn retry_after(&self, spec: &JobSpec) -> Millis {
+        self.dispatch.retry_after(spec).unwrap_or(RETRY_AFTER)
     }
 }
 
--- a/components/entry/src/count.rs
+++ b/components/entry/src/count.rs
@@ -30,8 +30,7 @@
 }
 
 /// The counters at one moment.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct Counted {
     /// Jobs answered completely.
     pub complete: u64,
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -57,6 +57,8 @@
     pub fleet: Fleet<P>,
     /// The quotas of teams.
     pub teams: Quotas,
+    /// The quotas of teams in this VM's failure domain.
+    pub home_teams: Quotas,
     /// The slots that the sheet gives each service in this domain.
     pub services: Quotas,
     /// Learned run times.
@@ -80,8 +82,8 @@
 pub struct Held<P: Policy> {
     /// The slot, until it is given back.
     slot: Option<Slot>,
-    /// What the team holds.
-    team: Option<QuotaGuard>,
+    /// What the team holds everywhere and in this domain.
+    team: Option<(QuotaGuard, QuotaGuard)>,
     /// What the service holds.
     service: Option<QuotaGuard>,
     /// The line to serve afterwards.
@@ -122,6 +124,7 @@
             home,
             fleet,
             teams: Quotas::new(limits.peer_ttl),
+            home_teams: Quotas::new(limits.peer_ttl),
             services: Quotas::new(limits.peer_ttl),
             times: RunTimes::new(),
             admission: Admission::new(limits.clone()),
@@ -173,7 +176,9 @@
             tasks: spec.tasks.len(),
             slots: Slots(slots as u32),
             mean: self.times.mean(&spec.service),
-            long: self.times.quantile(&spec.service, &spec.team, LONG, declared),
+            long: self
+                .times
+                .quantile(&spec.service, &spec.team, LONG, declared),
             left: spec.deadline,
         }
     }
@@ -216,9 +221,8 @@
         drop(dropped);
     }
 
-    /// Serves all lines in which tasks wait, as slots may have come free that
-    /// nobody gave back here.
-    pub fn serve_all(&self) where Self: Sized {
+    /// Tells the fleet how many tasks wait, which decides about other domains.
+    fn tell_waiting(&self) {
         for line in self.lines.load().values() {
             self.fleet
                 .set_waiting(&line.service, line.waiting.load(Ordering::Relaxed));
@@ -232,9 +236,10 @@
         lines.values().filter(waits).cloned().collect()
     }
 
-    /// Serves the lines in which tasks wait.
+    /// Serves the lines in which tasks wait, as slots may have come free that
+    /// nobody gave back here.
     pub fn tick(self: &Arc<Self>) {
-        self.serve_all();
+        self.tell_waiting();
         for line in self.waiting_lines() {
             self.serve(&line);
         }
@@ -259,18 +264,25 @@
         cores: Cores,
         avoid: &[MinionId],
     ) -> Option<Held<P>> {
-        let team = self.teams.acquire(team).ok()?;
+        let team = self.team(team)?;
         let service = self.services.acquire(&as_team(&line.service)).ok()?;
         let now = self.clock.now();
         let slot = self.fleet.acquire(&line.service, cores, avoid, now).ok()?;
         Some(self.hold(line, slot, team, service))
     }
 
+    /// Takes what a team may hold.
+    fn team(&self, team: &Team) -> Option<(QuotaGuard, QuotaGuard)> {
+        let all = self.teams.acquire(team).ok()?;
+        let home = self.home_teams.acquire(team).ok()?;
+        Some((all, home))
+    }
+
     fn hold(
         self: &Arc<Self>,
         line: &Arc<Line<P>>,
         slot: Slot,
-        team: QuotaGuard,
+        team: (QuotaGuard, QuotaGuard),
         service: QuotaGuard,
     ) -> Held<P> {
         line.held.fetch_add(1, Ordering::Relaxed);
@@ -347,11 +359,11 @@
         &self,
         queue: &mut Queue<Waiter<P>>,
         now: Timestamp,
-    ) -> Option<(Waiter<P>, QuotaGuard)> {
+    ) -> Option<(Waiter<P>, (QuotaGuard, QuotaGuard))> {
         loop {
             let mut guard = None;
             let waiter = queue.pop(now, |team| {
-                guard = self.teams.acquire(team).ok();
+                guard = self.team(team);
                 guard.is_some()
             })?;
             if !waiter.tell.is_closed() {
@@ -362,13 +374,7 @@
 
     /// Makes sure that a slot suits a task, or finds it another. A task for
     /// which there is none tries again by itself.
-    fn suit(
-        &self,
-        line: &Line<P>,
-        slot: Slot,
-        waiter: &Waiter<P>,
-        now: Timestamp,
-    ) -> Option<Slot> {
+    fn suit(&self, line: &Line<P>, slot: Slot, waiter: &Waiter<P>, now: Timestamp) -> Option<Slot> {
         let minion = slot.minion();
         if minion.cores >= waiter.cores && !waiter.avoid.contains(&minion.id) {
             return Some(slot);
@@ -376,7 +382,9 @@
         let other = self
             .fleet
             .acquire(&line.service, waiter.cores, &waiter.avoid, now);
-        other.ok().or((minion.cores >= waiter.cores).then_some(slot))
+        other
+            .ok()
+            .or((minion.cores >= waiter.cores).then_some(slot))
     }
 
     fn line(&self, service: &Service) -> Arc<Line<P>> {
@@ -400,6 +408,14 @@
     }
 }
 
+/// Names a service's slots like a team's, as both are counted alike.
+pub fn as_team(service: &Service) -> Team {
+    let text = service.as_str();
+    // A service's name is a team's name, as both take the same characters.
+    text.parse()
+        .unwrap_or_else(|_| unreachable!("{text} is a service's name"))
+}
+
 fn refusal(why: Unavailable, task: &TaskSpec) -> Reason {
     match why {
         Unavailable::NoMinion => Reason::NoMinion,
--- a/components/entry/src/drive.rs
+++ b/components/entry/src/drive.rs
@@ -28,6 +28,9 @@
         reason = run.cut_reason() => failed(&run, reason),
     };
     std::mem::forget(guard);
+    if !matches!(outcome, Outcome::Complete(_)) {
+        core.dispatch.cancel(&run.spec.service, &run.spec.key);
+    }
     settle(&core, &run, outcome);
 }
 
@@ -55,7 +58,7 @@
 
 /// Admits the job, makes sure that this VM alone may start it, and runs it.
 async fn attempt<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, run: &Arc<Run>) -> Outcome {
-    if let Err(reason) = core.dispatch.admit(core, &run.spec) {
+    if let Err(reason) = core.dispatch.admit(&run.spec) {
         return Outcome::not_run(reason);
     }
     if !run.owned() {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,1 +1,30 @@
-//! The entry component.
+//! The entry VM: everything between callers and minions. The request path
+//! reads snapshots that the control loops publish; see `docs/ARCHITECTURE.md`.
+
+mod api;
+mod beat;
+mod callers;
+mod claimer;
+mod config;
+mod control;
+mod core;
+mod count;
+mod dispatch;
+mod drive;
+mod lookup;
+mod message;
+mod pass;
+mod peers;
+mod run;
+mod sheets;
+mod status;
+mod stop;
+mod submit;
+mod task;
+mod vm;
+
+pub use api::{BadRequest, KEY_HEADER};
+pub use config::{Config, JobLimits, LogLimits, StopWait};
+pub use count::Counted;
+pub use status::{ChangeStatus, PeerStatus, ServiceStatus, Status};
+pub use vm::{StartError, Vm};
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -26,8 +26,7 @@
 pub const HANDOVER_PATH: &str = "/peer/v1/handover";
 
 /// A job on its way to its owner.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Pass {
     /// The incarnation that owns the job's key.
     pub target: Incarnation,
@@ -36,8 +35,7 @@
 }
 
 /// Names a job at its owner.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Ask {
     /// The incarnation that owns the job's key.
     pub target: Incarnation,
@@ -46,8 +44,7 @@
 }
 
 /// What an owner answers about a job.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PassReply {
     /// The job has ended.
     Ended(Arc<Outcome>),
@@ -58,16 +55,14 @@
 }
 
 /// The answer to a request for claims.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ClaimsReply {
     /// All that the VM knows.
     pub coverage: Coverage,
 }
 
 /// What a VM that stops leaves to its successor.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HandOver {
     /// The VM that stops.
     pub from: VmId,
@@ -78,8 +73,7 @@
 }
 
 /// The successor's answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HandOverReply {
     /// All is taken over.
     Taken,
@@ -92,8 +86,7 @@
 pub const POLL_WAIT: Millis = Millis(1_000);
 
 /// What a VM tells a peer that lags or has just started.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PeerState {
     /// The sheet, if the VM knows where it stands.
     pub sheet: Option<Snapshot>,
--- a/components/entry/src/pass.rs
+++ b/components/entry/src/pass.rs
@@ -2,6 +2,7 @@
 //! Passing is idempotent: the owner starts the job at most once, so a message
 //! that got lost is simply sent again.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +44,18 @@
     Codec(CodecError),
 }
 
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PeerError::Call(e) => write!(f, "{e}"),
+            PeerError::Status(status) => write!(f, "status {status}"),
+            PeerError::Codec(e) => write!(f, "{e}"),
+        }
+    }
+}
+
+impl std::error::Error for PeerError {}
+
 /// Sends a message to a peer and reads its answer.
 ///
 /// # Errors
@@ -61,7 +74,10 @@
     *req.uri_mut() = hyper::Uri::from_static(path);
     let host = hyper::header::HeaderValue::from_static("peer");
     req.headers_mut().insert("host", host);
-    let reply = client.call(addr, req, wait).await.map_err(PeerError::Call)?;
+    let reply = client
+        .call(addr, req, wait)
+        .await
+        .map_err(PeerError::Call)?;
     match reply.status {
         StatusCode::OK => wire::decode(&reply.body).map_err(PeerError::Codec),
         other => Err(PeerError::Status(other)),
@@ -78,9 +94,7 @@
         Located::Peer(addr) | Located::Away(addr) => {
             pass(core, owner.incarnation, addr, spec).await
         }
-        Located::Gone { successor: None } => {
-            Arc::new(Outcome::may_have_run(Reason::OwnerGone))
-        }
+        Located::Gone { successor: None } => Arc::new(Outcome::may_have_run(Reason::OwnerGone)),
         Located::Gone { .. } | Located::Here | Located::NeverSeen => {
             Arc::new(Outcome::Unknown(Reason::OwnerAway))
         }
@@ -95,7 +109,7 @@
     addr: SocketAddr,
     spec: &Arc<JobSpec>,
 ) -> Arc<Outcome> {
-    core.note(Note::new(EventKind::JobPassed(peer_name(core, target))).job(&spec.key));
+    core.note(Note::new(EventKind::JobPassed(core.name_of(target))).job(&spec.key));
     let until = Instant::now() + spec.deadline.duration();
     let mut accepted = false;
     let mut tries = 0;
@@ -111,7 +125,8 @@
                 tries = 0;
             }
             Ok(PassReply::NotMine) => return Arc::new(Outcome::Unknown(Reason::OwnerAway)),
-            Err(_) => {
+            Err(e) => {
+                log::debug!("{} at {addr}: {e}", spec.key);
                 tries += 1;
                 core.peers.forget(addr);
                 if tries == TRIES || Instant::now() > until {
@@ -123,11 +138,6 @@
     }
 }
 
-fn peer_name<C: Connect, P: Policy>(core: &Core<C, P>, target: Incarnation) -> kernel::VmId {
-    let view = core.view.load();
-    view.name_of(target).unwrap_or_else(|| core.me.vm.clone())
-}
-
 async fn send_pass<C: Connect, P: Policy>(
     core: &Core<C, P>,
     target: Incarnation,
@@ -140,7 +150,14 @@
     spec.deadline = Millis((left.as_millis() as u64).max(1));
     let pass = Pass { target, spec };
     core.counts.message_passed();
-    ask(&core.peers, addr, PASS_PATH, &pass, POLL_WAIT.duration() + GRACE).await
+    ask(
+        &core.peers,
+        addr,
+        PASS_PATH,
+        &pass,
+        POLL_WAIT.duration() + GRACE,
+    )
+    .await
 }
 
 async fn send_await<C: Connect, P: Policy>(
@@ -154,5 +171,12 @@
         key: spec.key.clone(),
     };
     core.counts.message_passed();
-    ask(&core.peers, addr, AWAIT_PATH, &ask_for, POLL_WAIT.duration() + GRACE).await
+    ask(
+        &core.peers,
+        addr,
+        AWAIT_PATH,
+        &ask_for,
+        POLL_WAIT.duration() + GRACE,
+    )
+    .await
 }
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -23,7 +23,7 @@
 use crate::lookup::{Found, cancel_here, find_here};
 use crate::message::{
     AWAIT_PATH, Ask, BEAT_PATH, CANCEL_PATH, CLAIMS_PATH, ClaimsReply, FIND_PATH, HANDOVER_PATH,
-    HandOver, HandOverReply, PASS_PATH, POLL_WAIT, Pass, PassReply, SHEET_PATH,
+    HandOver, HandOverReply, PASS_PATH, POLL_WAIT, Pass, PassReply, PeerState, STATE_PATH,
 };
 use crate::run::Run;
 use crate::submit::{Bar, enter};
@@ -64,7 +64,10 @@
             FIND_PATH => self.find(&body),
             CANCEL_PATH => self.cancel(&body).await,
             BEAT_PATH => self.beat(&body),
-            SHEET_PATH => write(&self.core.sheets.snapshot()),
+            STATE_PATH => write(&PeerState {
+                sheet: self.core.sheets.snapshot(),
+                listing: self.core.listing.load_full(),
+            }),
             CLAIMS_PATH => write(&ClaimsReply {
                 coverage: self.core.claimer.export(),
             }),
@@ -78,13 +81,14 @@
     async fn pass(&self, body: &[u8]) -> Response<Full<Bytes>> {
         let pass: Pass = match self.read(body) {
             Ok(pass) => pass,
-            Err(res) => return res,
+            Err(res) => return *res,
         };
         if !self.core.windows.holds(pass.target) {
             return write(&PassReply::NotMine);
         }
         let spec = Arc::new(pass.spec);
-        self.core.note(Note::new(EventKind::JobReceived).job(&spec.key));
+        self.core
+            .note(Note::new(EventKind::JobReceived).job(&spec.key));
         match enter(&self.core, &spec) {
             Ok(run) => write(&poll(&run).await),
             Err(Bar::Told(outcome)) => write(&PassReply::Ended(Arc::new(outcome))),
@@ -95,7 +99,7 @@
     async fn wait_on(&self, body: &[u8]) -> Response<Full<Bytes>> {
         let ask: Ask = match self.read(body) {
             Ok(ask) => ask,
-            Err(res) => return res,
+            Err(res) => return *res,
         };
         let reply = match self.core.table.find(&ask.key) {
             Some(Ok(run)) => poll(&run).await,
@@ -108,28 +112,28 @@
     fn find(&self, body: &[u8]) -> Response<Full<Bytes>> {
         match self.read::<Ask>(body) {
             Ok(ask) => write(&reply_of(find_here(&self.core, &ask.key))),
-            Err(res) => res,
+            Err(res) => *res,
         }
     }
 
     async fn cancel(&self, body: &[u8]) -> Response<Full<Bytes>> {
         match self.read::<Ask>(body) {
             Ok(ask) => write(&reply_of(cancel_here(&self.core, &ask.key).await)),
-            Err(res) => res,
+            Err(res) => *res,
         }
     }
 
     fn beat(&self, body: &[u8]) -> Response<Full<Bytes>> {
         match self.read::<Beat>(body) {
             Ok(beat) => write(&answer_beat(&self.core, beat)),
-            Err(res) => res,
+            Err(res) => *res,
         }
     }
 
     fn take_over(&self, body: &[u8]) -> Response<Full<Bytes>> {
         let left: HandOver = match self.read(body) {
             Ok(left) => left,
-            Err(res) => return res,
+            Err(res) => return *res,
         };
         if self.core.stage() != Stage::Serving {
             return write(&HandOverReply::Stopping);
@@ -141,17 +145,19 @@
     }
 
     /// Reads a message, or answers with the refusal that it gets.
-    fn read<T: DeserializeOwned>(&self, body: &[u8]) -> Result<T, Response<Full<Bytes>>> {
+    fn read<T: DeserializeOwned>(&self, body: &[u8]) -> Result<T, Box<Response<Full<Bytes>>>> {
         wire::decode(body).map_err(|e| match e {
-            CodecError::Version { .. } => {
-                self.core.counts.message_broken();
-                self.core.note(Note::new(EventKind::VersionRefused));
-                empty(StatusCode::UPGRADE_REQUIRED)
-            }
-            CodecError::Broken(_) | CodecError::Encode(_) => self.broken(),
+            CodecError::Version { .. } => Box::new(self.other_version()),
+            CodecError::Broken(_) | CodecError::Encode(_) => Box::new(self.broken()),
         })
     }
 
+    fn other_version(&self) -> Response<Full<Bytes>> {
+        self.core.counts.message_broken();
+        self.core.note(Note::new(EventKind::VersionRefused));
+        empty(StatusCode::UPGRADE_REQUIRED)
+    }
+
     fn broken(&self) -> Response<Full<Bytes>> {
         self.core.counts.message_broken();
         self.core.note(Note::new(EventKind::BrokenRefused));
@@ -169,7 +175,7 @@
 
 /// The answer about a job that was here and is no longer.
 fn gone() -> PassReply {
-    PassReply::Ended(Arc::new(Outcome::Unknown(Reason::Forgotten)))
+    PassReply::NotMine
 }
 
 fn reply_of(found: Found) -> PassReply {
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use jobs::{JobSpec, Outcome, Ran, Reason};
+use kernel::Timestamp;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -12,6 +13,8 @@
 pub struct Run {
     /// The job.
     pub spec: Arc<JobSpec>,
+    /// When the job arrived.
+    pub arrival: Timestamp,
     /// When the job must have ended.
     pub until: Instant,
     /// The outcome, once there is one.
@@ -26,8 +29,9 @@
 
 impl Run {
     /// Makes a job that has not ended. `owned` tells that no claim is needed.
-    pub fn new(spec: Arc<JobSpec>, owned: bool) -> Run {
+    pub fn new(spec: Arc<JobSpec>, arrival: Timestamp, owned: bool) -> Run {
         Run {
+            arrival,
             until: Instant::now() + spec.deadline.duration(),
             spec,
             ended: watch::Sender::new(None),
@@ -74,7 +78,10 @@
     pub async fn cut_reason(&self) -> Reason {
         let mut cut = self.cut.subscribe();
         let known = cut.wait_for(Option::is_some).await;
-        known.ok().and_then(|r| r.clone()).unwrap_or(Reason::Cancelled)
+        known
+            .ok()
+            .and_then(|r| r.clone())
+            .unwrap_or(Reason::Cancelled)
     }
 
     /// Notes that a task is about to be handed to a transport.
--- a/components/entry/src/status.rs
+++ b/components/entry/src/status.rs
@@ -1,9 +1,8 @@
 //! What a VM shows operators.
 
-use std::sync::atomic::Ordering;
-
-use kernel::{Incarnation, Offset, Service, VmId};
+use kernel::{Offset, Service, VmId};
 use limits::QuotaStatus;
+use membership::{Health, Presence};
 use routing::{MinionStatus, Policy};
 use serde::Serialize;
 use wire::Connect;
@@ -12,8 +11,7 @@
 use crate::count::Counted;
 
 /// One VM's view of the fleet.
-#[derive(Debug, Clone)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Serialize)]
 pub struct Status {
     /// The VM.
     pub vm: VmId,
@@ -59,8 +57,7 @@
 }
 
 /// What became of a change of the sheet.
-#[derive(Debug, Clone)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Serialize)]
 pub struct ChangeStatus {
     /// The change's id.
     pub id: String,
@@ -74,22 +71,20 @@
 }
 
 /// A peer as this VM sees it.
-#[derive(Debug, Clone)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Serialize)]
 pub struct PeerStatus {
     /// The peer.
     pub vm: VmId,
     /// The life of its process.
     pub incarnation: Option<String>,
     /// What this VM believes of it.
-    pub belief: String,
+    pub belief: &'static str,
     /// The sheet in force there.
     pub sheet: Option<Offset>,
 }
 
 /// A service's slots and queue.
-#[derive(Debug, Clone)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Serialize)]
 pub struct ServiceStatus {
     /// The service.
     pub service: Service,
@@ -112,7 +107,11 @@
         sheet: core.sheets.version(),
         changes: changes(core),
         sheet_faults: counters.reverts + counters.forks,
-        log: if core.claimer.away() { "away" } else { "answers" },
+        log: if core.claimer.away() {
+            "away"
+        } else {
+            "answers"
+        },
         claims_next,
         claims,
         appends: core.claimer.appends(),
@@ -149,6 +148,25 @@
     core.sheets.recent().into_iter().map(told).collect()
 }
 
+fn peers<C: Connect, P: Policy>(core: &Core<C, P>) -> Vec<PeerStatus> {
+    let status = |p: &membership::PeerView| PeerStatus {
+        vm: p.id.clone(),
+        incarnation: p.incarnation.map(|i| i.to_string()),
+        belief: belief(p),
+        sheet: p.sheet,
+    };
+    core.view.load().peers.iter().map(status).collect()
+}
+
+fn belief(peer: &membership::PeerView) -> &'static str {
+    match (peer.health, peer.presence) {
+        (Health::Gone, _) => "gone",
+        (Health::Suspect, _) => "suspect",
+        (Health::Live, Presence::Leaving) => "leaving",
+        (Health::Live, Presence::Live) => "live",
+    }
+}
+
 fn services<C: Connect, P: Policy>(core: &Core<C, P>) -> Vec<ServiceStatus> {
     let status = |(service, waiting, held)| ServiceStatus {
         service,
--- a/components/entry/src/stop.rs
+++ b/components/entry/src/stop.rs
@@ -8,6 +8,7 @@
 
 use jobs::Reason;
 use kernel::{Incarnation, Millis};
+use membership::{Health, PeerView, Presence};
 use routing::Policy;
 use timeline::{EventKind, Note};
 use tokio::time::{Instant, sleep};
@@ -38,7 +39,7 @@
 pub async fn stop<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, wait: Millis) {
     core.note(Note::new(EventKind::VmStopping));
     core.set_stage(Stage::Stopping);
-    core.members().leave();
+    core.members().leave(core.now());
     core.publish_view();
     beat_all(core).await;
     finish_jobs(core, Instant::now() + wait.duration()).await;
@@ -70,7 +71,7 @@
 /// Leaves windows and answers to the first peer that takes them. Once a peer
 /// may have got them no other is asked, so that no ticket has two owners.
 async fn hand_over<C: Connect, P: Policy>(core: &Core<C, P>) {
-    let peers = core.view.load().successors();
+    let peers = successors(core);
     if peers.is_empty() {
         return;
     }
@@ -88,6 +89,16 @@
     }
 }
 
+/// Returns the peers that could take over, those of this domain first.
+fn successors<C: Connect, P: Policy>(core: &Core<C, P>) -> Vec<(Incarnation, SocketAddr)> {
+    let view = core.view.load();
+    let able = |p: &&PeerView| p.health == Health::Live && p.presence == Presence::Live;
+    let mut peers: Vec<_> = view.peers.iter().filter(able).collect();
+    peers.sort_by_key(|p| p.domain != core.cfg.domain);
+    let named = peers.iter().filter_map(|p| Some((p.incarnation?, p.peers)));
+    named.collect()
+}
+
 /// What became of an offer.
 enum Offered {
     /// The peer answers for the windows now.
@@ -122,9 +133,8 @@
 }
 
 fn name_successor<C: Connect, P: Policy>(core: &Core<C, P>, successor: Incarnation) {
-    core.members().name_successor(successor);
+    core.members().hand_over(core.now(), successor);
     core.publish_view();
-    if let Some(vm) = core.view.load().name_of(successor) {
-        core.note(Note::new(EventKind::VmHandover(vm)));
-    }
+    let vm = core.name_of(successor);
+    core.note(Note::new(EventKind::VmHandover(vm)));
 }
--- a/components/entry/src/submit.rs
+++ b/components/entry/src/submit.rs
@@ -82,10 +82,7 @@
 const SUCCESSORS: usize = 16;
 
 /// Brings a submission to its outcome, here or at the VM that owns the key.
-pub async fn submit<C: Connect, P: Policy>(
-    core: &Arc<Core<C, P>>,
-    spec: JobSpec,
-) -> Arc<Outcome> {
+pub async fn submit<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, spec: JobSpec) -> Arc<Outcome> {
     core.note(Note::new(EventKind::JobReceived).job(&spec.key));
     let spec = Arc::new(spec);
     for _ in 0..ROUNDS {
@@ -137,7 +134,7 @@
     }
     match &spec.key {
         JobKey::Ticket(ticket) => match core.windows.take(*ticket) {
-            Some(Judged::Fresh) => Ok(Run::new(spec.clone(), true)),
+            Some(Judged::Fresh) => Ok(Run::new(spec.clone(), core.now(), true)),
             Some(Judged::Used | Judged::Past) => {
                 Err(Bar::Told(Outcome::Unknown(Reason::Forgotten)))
             }
@@ -145,7 +142,7 @@
             None => Err(Bar::Elsewhere),
         },
         JobKey::Bare(_) => match core.claimer.known(KeyHash::of(&spec.key)) {
-            Known::Nobody => Ok(Run::new(spec.clone(), false)),
+            Known::Nobody => Ok(Run::new(spec.clone(), core.now(), false)),
             Known::Owner(owner) if core.windows.holds(owner.incarnation) => {
                 Err(Bar::Told(Outcome::Unknown(Reason::Forgotten)))
             }
--- a/components/entry/src/task.rs
+++ b/components/entry/src/task.rs
@@ -9,7 +9,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Request, StatusCode};
 use jobs::{Reason, TaskAnswer, TaskSpec};
-use kernel::MinionId;
+use kernel::{Millis, MinionId};
 use routing::{Finish, MinionInfo, Policy};
 use timeline::{EventKind, Note};
 use tokio::time::Instant;
@@ -18,7 +18,8 @@
 use crate::core::Core;
 use crate::run::Run;
 
-/// The first pause after a minion turned a task away; it doubles each time.
+/// The first pause after a minion turned a task away while the retry budget is
+/// used up; it doubles each time.
 const PAUSE: Duration = Duration::from_millis(2);
 
 /// The longest such pause.
@@ -61,15 +62,21 @@
 ) -> Result<Bytes, Reason> {
     let mut avoid: Vec<MinionId> = Vec::new();
     let mut pause = PAUSE;
+    core.dispatch.retries.tried();
     loop {
         let held = core.dispatch.slot(run, task, &avoid).await?;
-        let minion = held.minion().clone();
+        let Some(minion) = held.minion().cloned() else {
+            return Err(Reason::NoMinion);
+        };
         let started = core.now();
         run.expose();
         note(core, run, task, &minion, EventKind::TaskSent);
         match send(core, run, task, &minion).await {
             Sent::Answered(body) => {
                 let run_time = core.now().micros_since(started);
+                let learned = Millis(run_time / 1000);
+                let times = &core.dispatch.times;
+                times.record(&run.spec.service, &run.spec.team, learned);
                 held.finish(Finish::Answered { run: run_time }, core.now());
                 note(core, run, task, &minion, EventKind::TaskAnswered);
                 return Ok(body);
@@ -96,8 +103,10 @@
             avoid.remove(0);
         }
         avoid.push(minion.id);
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(PAUSE_MAX);
+        if !core.dispatch.retries.retry() {
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(PAUSE_MAX);
+        }
     }
 }
 
@@ -140,7 +149,10 @@
         .header(wire::JOB_HEADER, text(&run.spec.key.to_string())?)
         .header(wire::TASK_HEADER, text(task.id.as_str())?)
         .header(wire::SERVICE_HEADER, text(run.spec.service.as_str())?)
-        .header(wire::INCARNATION_HEADER, text(&core.me.incarnation.to_string())?)
+        .header(
+            wire::INCARNATION_HEADER,
+            text(&core.me.incarnation.to_string())?,
+        )
         .header(wire::DEADLINE_HEADER, left.as_millis() as u64)
         .body(Full::new(task.payload.clone()))
         .ok()
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -8,9 +8,9 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use jobs::{JobTable, Owner, TableLimits, Windows};
-use kernel::{Incarnation, Millis, SystemClock, VmId};
+use kernel::{Clock, Incarnation, Millis, SystemClock, VmId};
 use limits::LimitsConfig;
-use membership::{Me, Membership, MembershipConfig};
+use membership::{Generation, Membership};
 use platform::HttpPlatform;
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -87,7 +87,7 @@
         connect: C,
     ) -> Result<Vm, StartError> {
         match routing.policy {
-            PolicyKind::Balanced => start(cfg, routing, limits, connect, Balanced).await,
+            PolicyKind::Balanced => start(cfg, routing, limits, connect, Balanced::default()).await,
             PolicyKind::Random => start(cfg, routing, limits, connect, Random).await,
             PolicyKind::Least => start(cfg, routing, limits, connect, LeastOwn).await,
             PolicyKind::Split => start(cfg, routing, limits, connect, Split).await,
@@ -209,16 +209,18 @@
     let dispatch = Dispatch::new(cfg.domain.clone(), fleet, limits, clock.clone());
     let wait = cfg.log.append_wait;
     let to_platform = Client::new(connect.clone(), PoolLimits::default());
-    let member = Me {
+    let member = membership::Vm {
         id: cfg.id.clone(),
         domain: cfg.domain.clone(),
         incarnation: me.incarnation,
+        generation: Generation(clock.wall().0),
         callers,
         peers,
     };
-    let members = Membership::new(member, MembershipConfig::default(), rng, &cfg.seeds);
+    let mut members = Membership::new(clock.now(), member, membership::Config::default(), rng);
+    let view = members.view(clock.now());
     Core {
-        view: ArcSwap::from_pointee(members.view()),
+        view: ArcSwap::new(view),
         members: std::sync::Mutex::new(members),
         minions: Client::new(connect.clone(), cfg.pool),
         peers: Client::new(connect, cfg.pool),
--- /dev/null
+++ b/components/jobs/tests/claims.rs
@@ -0,0 +1,145 @@
+//! The log's order decides who owns a key, alike for every reader.
+
+use jobs::{ClaimRecord, Claims, Decided, KeyHash, Owner, Release};
+use kernel::{Incarnation, Offset};
+use proptest::prelude::*;
+
+fn owner(n: u128) -> Owner {
+    let incarnation: Incarnation = format!("{n:032x}").parse().unwrap();
+    Owner {
+        incarnation,
+        vm: format!("a/vm-{n}").parse().unwrap(),
+    }
+}
+
+fn claim(by: u128, keys: &[u128]) -> String {
+    let record = ClaimRecord::Claim {
+        by: owner(by),
+        keys: keys.iter().copied().map(KeyHash).collect(),
+    };
+    serde_json::to_string(&record).unwrap()
+}
+
+fn release(by: u128, key: u128, claim: u64) -> String {
+    let record = ClaimRecord::Release {
+        by: owner(by),
+        keys: vec![Release {
+            key: KeyHash(key),
+            claim: Offset(claim),
+        }],
+    };
+    serde_json::to_string(&record).unwrap()
+}
+
+fn apply(claims: &mut Claims, records: &[String]) -> Vec<Decided> {
+    let from = claims.next().0;
+    let numbered = records.iter().zip(from..);
+    numbered
+        .map(|(text, at)| claims.apply(Offset(at), text).unwrap())
+        .collect()
+}
+
+#[test]
+fn first_wins() {
+    let mut claims = Claims::new(owner(1), 100);
+    claims.wait_for(KeyHash(7));
+    let decided = apply(&mut claims, &[claim(2, &[7]), claim(1, &[7])]);
+    assert_eq!(decided[0].lost, [(KeyHash(7), owner(2))]);
+    assert_eq!(decided[1], Decided::default());
+}
+
+#[test]
+fn late_claim_released() {
+    let mut claims = Claims::new(owner(1), 100);
+    claims.wait_for(KeyHash(7));
+    claims.give_up(KeyHash(7));
+    let decided = apply(&mut claims, &[claim(1, &[7])]);
+    assert_eq!(decided[0].stray.len(), 1);
+    assert!(claims.leaving(KeyHash(7)));
+    apply(&mut claims, &[release(1, 7, 0), claim(2, &[7])]);
+    assert!(!claims.leaving(KeyHash(7)));
+    assert_eq!(claims.owner(KeyHash(7)), Some(&owner(2)));
+}
+
+#[test]
+fn stale_release() {
+    let mut claims = Claims::new(owner(3), 100);
+    let again = [
+        claim(1, &[7]),
+        release(1, 7, 0),
+        claim(1, &[7]),
+        release(1, 7, 0),
+    ];
+    apply(&mut claims, &again);
+    assert_eq!(claims.owner(KeyHash(7)), Some(&owner(1)));
+}
+
+#[test]
+fn foreign_release() {
+    let mut claims = Claims::new(owner(3), 100);
+    apply(&mut claims, &[claim(1, &[7]), release(2, 7, 0)]);
+    assert_eq!(claims.owner(KeyHash(7)), Some(&owner(1)));
+}
+
+#[test]
+fn import_keeps_running() {
+    let mut mine = Claims::new(owner(1), 100);
+    mine.wait_for(KeyHash(7));
+    let records = [claim(1, &[7]), claim(2, &[8])];
+    apply(&mut mine, &records[..1]);
+    let mut peer = Claims::new(owner(2), 100);
+    apply(&mut peer, &records);
+    let decided = mine.import(peer.export()).unwrap();
+    assert_eq!(decided.stray, [], "a running job's claim was given up");
+    assert!(!mine.leaving(KeyHash(7)));
+    assert_eq!(mine.owner(KeyHash(8)), Some(&owner(2)));
+}
+
+#[test]
+fn broken_passed_over() {
+    let mut claims = Claims::new(owner(1), 100);
+    assert!(claims.apply(Offset(0), "{\"claim\":3}").is_err());
+    apply(&mut claims, &[claim(2, &[7])]);
+    assert_eq!(claims.owner(KeyHash(7)), Some(&owner(2)));
+}
+
+fn records() -> impl Strategy<Value = Vec<String>> {
+    let one = (0..3u32, 1..4u128, 0..5u128, 0..40u64).prop_map(|(kind, by, key, at)| match kind {
+        0 => release(by, key, at),
+        _ => claim(by, &[key, (key + by) % 5]),
+    });
+    proptest::collection::vec(one, 1..40)
+}
+
+proptest! {
+    #[test]
+    fn readers_agree(records in records(), split in 0usize..40) {
+        let mut whole = Claims::new(owner(1), 1000);
+        apply(&mut whole, &records);
+        let split = split.min(records.len());
+        let mut peer = Claims::new(owner(2), 1000);
+        apply(&mut peer, &records[..split]);
+        let mut late = Claims::new(owner(3), 1000);
+        late.import(peer.export());
+        let read = late.next().0 as usize;
+        apply(&mut late, &records[read..]);
+        for key in (0..5).map(KeyHash) {
+            prop_assert_eq!(whole.owner(key), late.owner(key));
+        }
+    }
+
+    #[test]
+    fn one_winner(records in records()) {
+        let mut readers: Vec<_> = (1..4).map(|n| Claims::new(owner(n), 1000)).collect();
+        for reader in &mut readers {
+            (0..5).for_each(|key| reader.wait_for(KeyHash(key)));
+        }
+        let mut won = vec![0; 5];
+        for reader in &mut readers {
+            for decided in apply(reader, &records) {
+                decided.won.iter().for_each(|key| won[key.0 as usize] += 1);
+            }
+        }
+        prop_assert!(won.iter().all(|n| *n <= 1), "{won:?}");
+    }
+}
--- /dev/null
+++ b/components/jobs/tests/table.rs
@@ -0,0 +1,65 @@
+//! The table keeps one job a key, and answers within a bound.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use jobs::{Entered, JobTable, Outcome, TableLimits, TaskAnswer};
+use kernel::{JobKey, Timestamp};
+
+fn table(kept_bytes: usize) -> JobTable<u32> {
+    JobTable::new(TableLimits { kept_bytes })
+}
+
+fn key(n: u32) -> JobKey {
+    format!("job-{n}").parse().unwrap()
+}
+
+fn answer(size: usize) -> Arc<Outcome> {
+    Arc::new(Outcome::Complete(vec![TaskAnswer {
+        id: "0".parse().unwrap(),
+        body: Bytes::from(vec![0; size]),
+    }]))
+}
+
+#[test]
+fn enters_once() {
+    let table = table(1 << 20);
+    let new = table.enter(&key(1), || Ok::<_, ()>(7));
+    assert!(matches!(new, Entered::New(n) if *n == 7));
+    let again = table.enter(&key(1), || -> Result<u32, ()> { panic!("asked twice") });
+    assert!(matches!(again, Entered::Running(n) if *n == 7));
+}
+
+#[test]
+fn answer_kept() {
+    let table = table(1 << 20);
+    table.enter(&key(1), || Ok::<_, ()>(7));
+    table.finish(&key(1), answer(10), Timestamp(0));
+    let again = table.enter(&key(1), || -> Result<u32, ()> { panic!("run again") });
+    assert!(matches!(again, Entered::Done(o) if o == answer(10)));
+}
+
+#[test]
+fn withdrawn_free() {
+    let table = table(1 << 20);
+    table.enter(&key(1), || Ok::<_, ()>(7));
+    let mut undone = false;
+    table.withdraw(&key(1), || undone = true);
+    assert!(undone);
+    let again = table.enter(&key(1), || Ok::<_, ()>(8));
+    assert!(matches!(again, Entered::New(n) if *n == 8));
+}
+
+#[test]
+fn memory_bounded() {
+    let table = table(256 << 10);
+    for n in 0..2000 {
+        table.enter(&key(n), || Ok::<_, ()>(n));
+        table.finish(&key(n), answer(1000), Timestamp(0));
+    }
+    let (running, kept, bytes) = table.sizes();
+    assert_eq!(running, 0);
+    assert!(bytes <= 256 << 10, "{bytes}");
+    assert!(kept > 100, "{kept}");
+    assert!(table.find(&key(0)).is_none());
+}
--- /dev/null
+++ b/components/jobs/tests/windows.rs
@@ -0,0 +1,69 @@
+//! A ticket is started at most once, and never after its window has moved on.
+
+use jobs::{Judged, Window, Windows};
+use kernel::{Incarnation, Ticket};
+use proptest::prelude::*;
+
+fn incarnation(n: u128) -> Incarnation {
+    format!("{n:032x}").parse().unwrap()
+}
+
+#[test]
+fn once_only() {
+    let windows = Windows::new(incarnation(1), 1000);
+    let ticket = windows.mint(1)[0];
+    assert_eq!(windows.take(ticket), Some(Judged::Fresh));
+    assert_eq!(windows.take(ticket), Some(Judged::Used));
+}
+
+#[test]
+fn forged_serial() {
+    let windows = Windows::new(incarnation(1), 1000);
+    let forged = Ticket {
+        owner: incarnation(1),
+        serial: 9,
+    };
+    assert_eq!(windows.take(forged), Some(Judged::NeverMinted));
+}
+
+#[test]
+fn past_refused() {
+    let mut window = Window::new(128);
+    let first = window.mint(1);
+    window.mint(1000);
+    assert_eq!(window.judge(first), Judged::Past);
+    window.mark(first, false);
+    assert_eq!(window.judge(first), Judged::Past);
+}
+
+#[test]
+fn handed_over() {
+    let old = Windows::new(incarnation(1), 1000);
+    let tickets = old.mint(3);
+    old.take(tickets[0]);
+    let new = Windows::new(incarnation(2), 1000);
+    let states = old.hand_over();
+    new.adopt(states.clone());
+    assert_eq!(old.take(tickets[1]), None);
+    assert_eq!(new.take(tickets[0]), Some(Judged::Used));
+    assert_eq!(new.take(tickets[1]), Some(Judged::Fresh));
+    // The same hand-over again must not make a used ticket fresh.
+    new.adopt(states);
+    assert_eq!(new.take(tickets[1]), Some(Judged::Used));
+}
+
+proptest! {
+    #[test]
+    fn fresh_once(steps in proptest::collection::vec((0u64..300, any::<bool>()), 1..400)) {
+        let mut window = Window::new(128);
+        let mut started = std::collections::BTreeSet::new();
+        for (n, mint) in steps {
+            if mint {
+                window.mint(n % 20 + 1);
+            } else if window.judge(n) == Judged::Fresh {
+                window.mark(n, true);
+                prop_assert!(started.insert(n), "{} started twice", n);
+            }
+        }
+    }
+}
