--- /dev/null
+++ b/benches/path.rs
@@ -0,0 +1,316 @@
+//! What the whole path adds to calling a minion directly, and how many tasks a
+//! second one VM starts on two threads. All figures are of one run; compare
+//! them only with each other (docs/BENCH.md).
+//!
+//! `cargo bench --bench path`
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use entry::{Config, KEY_HEADER, Vm};
+use hdrhistogram::Histogram;
+use http_body_util::Full;
+use hyper::Request;
+use kernel::{Cores, Domain, Millis, Service, Slots};
+use limits::LimitsConfig;
+use platform::{HttpPlatform, Platform, Presence, Stream, VmRow};
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use routing::RoutingConfig;
+use sheet::{Base, Body, Change, ChangeId, Sheet, SheetRecord};
+use standins::{Ledger, MinionConfig, MinionStandin, PlatformConfig, PlatformStandin};
+use tokio::runtime::{Builder, Runtime};
+use wire::{Client, PoolLimits, Reply, TcpConnect};
+
+/// Sequential calls a way.
+const CALLS: usize = 3000;
+
+/// How long throughput is measured.
+const SPAN: Duration = Duration::from_secs(5);
+
+/// Tasks in each job of the throughput run.
+const TASKS: usize = 20;
+
+/// The run time of each such task.
+const RUN: Millis = Millis(20);
+
+/// The longest wait for any answer.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// A VM and what surrounds it.
+struct Bed {
+    /// Runs the stand-ins.
+    outside: Runtime,
+    /// Runs the VM.
+    inside: Runtime,
+    /// The VM.
+    vm: Vm,
+    /// The minions.
+    minions: Vec<MinionStandin>,
+    /// Carries requests.
+    client: Client<TcpConnect>,
+}
+
+fn runtime(threads: usize, name: &str) -> Runtime {
+    let mut builder = Builder::new_multi_thread();
+    builder
+        .worker_threads(threads)
+        .thread_name(name)
+        .enable_all();
+    builder.build().expect("a runtime starts")
+}
+
+fn domain() -> Domain {
+    "a".parse().expect("a domain's name")
+}
+
+fn service() -> Service {
+    "quote".parse().expect("a service's name")
+}
+
+impl Bed {
+    fn start(minions: usize, threads: usize) -> Bed {
+        let outside = runtime(4, "outside");
+        let inside = runtime(threads, "vm");
+        let platform = outside
+            .block_on(PlatformStandin::start(PlatformConfig::default()))
+            .expect("the platform starts");
+        let ledger = Ledger::default();
+        let start = |n| {
+            let config = MinionConfig {
+                id: format!("a/m-{n}").parse().expect("a minion's name"),
+                domain: domain(),
+                services: vec![service()],
+                slots: Slots(8),
+                cores: Cores(30),
+            };
+            let minion = outside.block_on(MinionStandin::start(config, ledger.clone()));
+            minion.expect("a minion starts")
+        };
+        let minions: Vec<_> = (0..minions).map(start).collect();
+        let id = "a/vm-0".parse().expect("a VM's name");
+        let cfg = Config::new(id, domain(), platform.addr());
+        let vm = inside
+            .block_on(Vm::start(
+                cfg,
+                RoutingConfig::default(),
+                LimitsConfig::default(),
+                TcpConnect,
+            ))
+            .expect("the VM starts");
+        let row = VmRow {
+            id: vm.id().clone(),
+            domain: domain(),
+            callers: vm.callers(),
+            peers: vm.peers(),
+            presence: Presence::Live,
+        };
+        platform.change(|list| {
+            list.vms.push(row);
+            list.minions.extend(minions.iter().map(MinionStandin::row));
+        });
+        let client = Client::new(TcpConnect, PoolLimits::default());
+        let bed = Bed {
+            outside,
+            inside,
+            vm,
+            minions,
+            client,
+        };
+        bed.outside.block_on(bed.publish(platform.addr()));
+        bed.outside.block_on(bed.ready());
+        bed
+    }
+
+    async fn publish(&self, platform: SocketAddr) {
+        let record = SheetRecord::Change(Change {
+            id: ChangeId::draw(&mut Xoshiro256PlusPlus::seed_from_u64(1)),
+            by: "bench".parse().expect("an operator's name"),
+            base: Base::Empty,
+            at: Millis(0),
+            body: Body::against(None, &Sheet::open()),
+        });
+        let text = record.to_json().expect("a record has a form");
+        let platform = HttpPlatform::new(self.client.clone(), platform, Millis(2000));
+        let appended = platform.append(Stream::Sheet, Bytes::from(text)).await;
+        appended.expect("the log takes the sheet");
+    }
+
+    async fn ready(&self) {
+        while self.submit("", "ready", &body(1, Millis(0))).await != 200 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Submits a job and returns the status.
+    async fn submit(&self, prefix: &str, key: &str, body: &Bytes) -> u16 {
+        let req = Request::post("/v1/jobs")
+            .header("host", "vm")
+            .header(KEY_HEADER, format!("{prefix}{key}"))
+            .body(Full::new(body.clone()))
+            .expect("a request");
+        let reply = self.client.call(self.vm.callers(), req, WAIT).await;
+        reply.map_or(0, |r| r.status.as_u16())
+    }
+
+    async fn tickets(&self) -> Vec<String> {
+        let req = Request::post("/v1/tickets?count=1000")
+            .header("host", "vm")
+            .body(Full::default())
+            .expect("a request");
+        let reply = self.client.call(self.vm.callers(), req, WAIT).await;
+        let body: serde_json::Value = reply
+            .ok()
+            .and_then(|r| serde_json::from_slice(&r.body).ok())
+            .unwrap_or_default();
+        let list = body["tickets"].as_array().cloned().unwrap_or_default();
+        list.iter()
+            .filter_map(|t| t.as_str().map(str::to_owned))
+            .collect()
+    }
+
+    /// Calls a minion as a VM would.
+    async fn direct(&self, n: usize) -> Option<Reply> {
+        let req = Request::post(wire::TASK_PATH)
+            .header("host", "minion")
+            .header(wire::JOB_HEADER, format!("direct-{n}"))
+            .header(wire::TASK_HEADER, "0")
+            .header(wire::SERVICE_HEADER, "quote")
+            .header(wire::INCARNATION_HEADER, "0")
+            .body(Full::from(r#"{"run_ms":0}"#))
+            .expect("a request");
+        let minion = self.minions[n % self.minions.len()].addr();
+        self.client.call(minion, req, WAIT).await.ok()
+    }
+}
+
+fn body(tasks: usize, run: Millis) -> Bytes {
+    let task = |i| format!(r#"{{"id":"{i}","payload":{{"run_ms":{}}}}}"#, run.0);
+    let tasks: Vec<_> = (0..tasks).map(task).collect();
+    let text = format!(
+        r#"{{"team":"t1","service":"quote","deadline_ms":10000,"tasks":[{}]}}"#,
+        tasks.join(",")
+    );
+    Bytes::from(text)
+}
+
+async fn timed<T>(times: &mut Histogram<u64>, call: impl Future<Output = T>) -> T {
+    let start = Instant::now();
+    let result = call.await;
+    times.saturating_record(start.elapsed().as_micros() as u64);
+    result
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds of a histogram")
+}
+
+/// Calls minions directly, with tickets and with bare keys, in turn, so that
+/// all three meet the same machine.
+async fn latency(bed: &Bed) {
+    let body = body(1, Millis(0));
+    let (mut direct, mut ticket, mut bare) = (histogram(), histogram(), histogram());
+    let mut tickets = Vec::new();
+    for n in 0..CALLS {
+        if tickets.is_empty() {
+            tickets = bed.tickets().await;
+        }
+        timed(&mut direct, bed.direct(n)).await;
+        let key = tickets.pop().unwrap_or_default();
+        timed(&mut ticket, bed.submit("", &key, &body)).await;
+        // A claim waits for a synced write, so fewer calls do.
+        if n % 10 == 0 {
+            timed(&mut bare, bed.submit("bare-", &n.to_string(), &body)).await;
+        }
+    }
+    for (name, times) in [
+        ("direct", &direct),
+        ("ticket", &ticket),
+        ("bare key", &bare),
+    ] {
+        let (p50, p99) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
+        let base50 = direct.value_at_quantile(0.5);
+        let base99 = direct.value_at_quantile(0.99);
+        println!(
+            "latency {name:9} p50 {p50:6} us p99 {p99:6} us | added p50 {:6} us, p99 {:6} us",
+            p50.saturating_sub(base50),
+            p99.saturating_sub(base99),
+        );
+    }
+}
+
+/// Keeps so many jobs in flight and counts the tasks that complete.
+async fn throughput(bed: Arc<Bed>, jobs: usize) {
+    let done = Arc::new(AtomicU64::new(0));
+    let refused = Arc::new(AtomicU64::new(0));
+    let end = Instant::now() + SPAN;
+    let callers: Vec<_> = (0..jobs)
+        .map(|_| {
+            let (bed, done, refused) = (bed.clone(), done.clone(), refused.clone());
+            tokio::spawn(async move {
+                let body = body(TASKS, RUN);
+                let mut tickets = Vec::new();
+                while Instant::now() < end {
+                    if tickets.is_empty() {
+                        tickets = bed.tickets().await;
+                    }
+                    let key = tickets.pop().unwrap_or_default();
+                    match bed.submit("", &key, &body).await {
+                        200 => done.fetch_add(TASKS as u64, Ordering::Relaxed),
+                        _ => refused.fetch_add(1, Ordering::Relaxed),
+                    };
+                }
+            })
+        })
+        .collect();
+    let before = cpu();
+    let start = Instant::now();
+    for caller in callers {
+        let _ = caller.await;
+    }
+    let span = start.elapsed().as_secs_f64();
+    let used = cpu() - before;
+    println!(
+        "throughput {jobs:4} jobs in flight: {:8.0} tasks/s, {} jobs refused, {:.2} cores of VM threads",
+        done.load(Ordering::Relaxed) as f64 / span,
+        refused.load(Ordering::Relaxed),
+        used / span,
+    );
+}
+
+/// Returns the seconds of processor time that the VM's threads have used.
+fn cpu() -> f64 {
+    /// Clock ticks a second in /proc on Linux.
+    const TICKS: f64 = 100.0;
+    let Ok(tasks) = std::fs::read_dir("/proc/self/task") else {
+        return 0.0;
+    };
+    let ticks = |text: String| -> Option<f64> {
+        let (name, rest) = text.split_once(')')?;
+        if !name.ends_with("(vm") {
+            return Some(0.0);
+        }
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        Some(fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?)
+    };
+    let stats = tasks.flatten().filter_map(|t| {
+        let text = std::fs::read_to_string(t.path().join("stat")).ok()?;
+        ticks(text)
+    });
+    stats.sum::<f64>() / TICKS
+}
+
+fn main() {
+    let bed = Bed::start(4, 2);
+    bed.outside.block_on(latency(&bed));
+    bed.inside.shutdown_background();
+    let bed = Arc::new(Bed::start(60, 2));
+    for jobs in [5, 10, 20, 40] {
+        bed.outside.block_on(throughput(bed.clone(), jobs));
+    }
+    println!("vm {} ends", bed.vm.id());
+}
