Bench: keep the platform alive, and fail when a job fails

Cause: the bed dropped its platform, so bare keys were refused at once and their line was faster than a direct call. Change: the bed owns the platform and the bench asserts each status.

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -49,6 +49,8 @@
     inside: Runtime,
     /// The VM.
     vm: Vm,
+    /// The platform, which lives as long as this.
+    _platform: PlatformStandin,
     /// The minions.
     minions: Vec<MinionStandin>,
     /// Carries requests.
@@ -114,14 +116,16 @@
             list.minions.extend(minions.iter().map(MinionStandin::row));
         });
         let client = Client::new(TcpConnect, PoolLimits::default());
+        let addr = platform.addr();
         let bed = Bed {
             outside,
             inside,
             vm,
+            _platform: platform,
             minions,
             client,
         };
-        bed.outside.block_on(bed.publish(platform.addr()));
+        bed.outside.block_on(bed.publish(addr));
         bed.outside.block_on(bed.ready());
         bed
     }
@@ -221,10 +225,12 @@
         }
         timed(&mut direct, bed.direct(n)).await;
         let key = tickets.pop().unwrap_or_default();
-        timed(&mut ticket, bed.submit("", &key, &body)).await;
+        let status = timed(&mut ticket, bed.submit("", &key, &body)).await;
+        assert_eq!(status, 200, "a job with a ticket failed");
         // A claim waits for a synced write, so fewer calls do.
         if n % 10 == 0 {
-            timed(&mut bare, bed.submit("bare-", &n.to_string(), &body)).await;
+            let status = timed(&mut bare, bed.submit("bare-", &n.to_string(), &body)).await;
+            assert_eq!(status, 200, "a job with a bare key failed");
         }
     }
     for (name, times) in [
