membership: heartbeats, hearsay, departed incarnations, leaving minions

Cause: VMs must find each other, see who answers and pass on what leaves also without the platform; every belief may be wrong.

Change: deterministic state of events and time; heartbeats bounded in rate, peers, news and memory; lives of one VM id ordered by a generation, with rules for a paused process and a clock set back; sets of leaving minions and departed incarnations compared by hash; views for the request path.

--- /dev/null
+++ b/components/membership/tests/bounds.rs
@@ -0,0 +1,104 @@
+//! State stays bounded whatever peers say.
+
+mod common;
+
+use common::{Dice, addr, dice, minion, vm};
+use kernel::{Incarnation, Millis, Offset, Timestamp};
+use membership::{
+    Beat, Config, DepartedNews, Generation, LeavingNews, MAX_DEPARTED, MAX_LEAVING, MAX_PEERS,
+    Membership, MinionNews, Presence, Sync, Target, Vm, VmNews,
+};
+use rand::Rng;
+
+fn any_vm(rng: &mut Dice) -> Vm {
+    let domain = ["a", "b", "c"][rng.random_range(0..3)];
+    let mut vm = vm(domain, rng.random_range(0..2000), 1);
+    vm.incarnation = Incarnation::draw(rng);
+    vm.generation = Generation(rng.random_range(0..9));
+    vm
+}
+
+fn any_beat(rng: &mut Dice) -> Beat<()> {
+    let minions = (0..rng.random_range(0..200)).map(|_| MinionNews {
+        minion: minion("a", rng.random_range(0..9000)),
+        left: Millis(rng.random_range(0..u64::MAX)),
+    });
+    let leaving = LeavingNews {
+        digest: 5,
+        news: minions.collect(),
+    };
+    let exits = (0..rng.random_range(0..50)).map(|_| DepartedNews {
+        incarnation: Incarnation::draw(rng),
+        successor: None,
+    });
+    let departed = Sync {
+        digest: 6,
+        news: exits.collect(),
+    };
+    let vms = (0..rng.random_range(0..30)).map(|_| VmNews {
+        vm: any_vm(rng),
+        presence: Presence::Leaving,
+        age: Millis(rng.random_range(0..u64::MAX)),
+    });
+    Beat {
+        vms: vms.collect(),
+        from: any_vm(rng),
+        presence: Presence::Live,
+        successor: None,
+        sheet: Some(Offset(rng.random_range(0..100))),
+        claims: None,
+        leaving,
+        departed,
+        note: (),
+    }
+}
+
+#[test]
+fn flooded() {
+    let rng = &mut dice(1);
+    let mut state = Membership::new(Timestamp(0), vm("a", 5000, 1), Config::default(), dice(2));
+    for step in 0..300 {
+        let now = Timestamp(step * 50_000);
+        let beat = any_beat(rng);
+        state.on_beat(now, &beat);
+        let answer = state.reply(now, &beat.from, ());
+        assert!(answer.vms.len() <= membership::MAX_VM_NEWS);
+        assert!(answer.leaving.news.len() <= membership::MAX_MINION_NEWS);
+        assert!(answer.departed.news.len() <= membership::MAX_DEPARTED_NEWS);
+        let targets = state.tick(now);
+        assert!(targets.len() <= 16);
+        for target in &targets {
+            answer_some(rng, &mut state, now, target);
+        }
+        let [peers, leaving, departed] = state.sizes();
+        assert!(peers <= MAX_PEERS && leaving <= MAX_LEAVING && departed <= MAX_DEPARTED);
+        let view = state.view(now);
+        assert!(view.rank < view.live.max(1));
+    }
+    assert_eq!(state.sizes()[2], MAX_DEPARTED);
+}
+
+fn answer_some(rng: &mut Dice, state: &mut Membership<Dice>, now: Timestamp, target: &Target) {
+    match rng.random_range(0..3) {
+        0 => state.on_failure(now, target),
+        1 => state.on_reply(now, target, &any_beat(rng)),
+        _ => {}
+    }
+}
+
+#[test]
+fn offset_drop() {
+    let rng = &mut dice(3);
+    let mut state = Membership::new(Timestamp(0), vm("a", 0, 1), Config::default(), dice(4));
+    let mut beat = any_beat(rng);
+    beat.from = vm("a", 1, 1);
+    beat.from.peers = addr(1);
+    beat.sheet = Some(Offset(9));
+    state.on_beat(Timestamp(0), &beat);
+    beat.sheet = Some(Offset(4));
+    state.on_beat(Timestamp(1), &beat);
+    assert_eq!(state.counters().offset_drops, 1);
+    let view = state.view(Timestamp(1));
+    let peer = view.peers.iter().find(|p| p.id == beat.from.id).unwrap();
+    assert_eq!(peer.sheet, Some(Offset(9)));
+}
--- /dev/null
+++ b/components/membership/tests/fleet.rs
@@ -0,0 +1,294 @@
+//! How beliefs settle among VMs that start, die, pause and are cut off.
+
+mod common;
+
+use common::{Fleet, listing, vm};
+use kernel::{Incarnation, Millis, Offset};
+use membership::{Contact, Health, Located, Presence};
+
+const REGIONS: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn life(fleet: &Fleet, at: usize) -> Incarnation {
+    fleet.nodes[at].vm.incarnation
+}
+
+#[test]
+fn one_listing() {
+    let mut fleet = Fleet::new(&["a", "b"], 4);
+    let list = listing(&fleet.vms());
+    let now = fleet.now;
+    fleet.nodes[0].state.on_listing(now, list);
+    fleet.run(Millis(5000));
+    for (at, view) in fleet.views().iter().enumerate() {
+        assert_eq!((view.live, view.rank), (8, at));
+        assert!(view.peers.iter().all(|p| p.health == Health::Live));
+    }
+}
+
+#[test]
+fn design_size() {
+    let mut fleet = Fleet::settled(&REGIONS, 8);
+    for view in fleet.views() {
+        assert_eq!(view.live, 40);
+    }
+    assert!(
+        fleet
+            .nodes
+            .iter()
+            .all(|n| n.state.counters().offset_drops == 0)
+    );
+}
+
+#[test]
+fn dead_peer() {
+    let mut fleet = Fleet::settled(&["a", "b"], 2);
+    fleet.nodes[1].down = true;
+    fleet.run(Millis(3000));
+    let dead = life(&fleet, 1);
+    let view = fleet.view(0);
+    assert_eq!(view.locate(dead), Located::Away(fleet.nodes[1].vm.peers));
+    assert_eq!(view.live, 3);
+    assert_eq!(fleet.view(2).rank, 1);
+}
+
+#[test]
+fn new_life() {
+    let mut fleet = Fleet::settled(&["a", "b"], 3);
+    let old = life(&fleet, 1);
+    fleet.nodes[1].down = true;
+    fleet.run(Millis(1000));
+    let new = fleet.start(vm("a", 1, 2));
+    let list = listing(&fleet.vms());
+    let now = fleet.now;
+    fleet.nodes[new].state.on_listing(now, list);
+    fleet.run(Millis(8000));
+    let new = life(&fleet, new);
+    for view in fleet.views() {
+        assert_eq!(view.locate(old), Located::Gone { successor: None });
+        assert!(matches!(view.locate(new), Located::Peer(_) | Located::Here));
+    }
+}
+
+#[test]
+fn paused_returns() {
+    let mut fleet = Fleet::settled(&["a", "b"], 3);
+    fleet.nodes[1].down = true;
+    let mut vm = vm("a", 1, 2);
+    vm.peers = common::addr(99);
+    let new = fleet.start(vm);
+    fleet.list_all();
+    fleet.run(Millis(10_000));
+    fleet.nodes[1].down = false;
+    fleet.run(Millis(3000));
+    assert!(fleet.view(1).replaced);
+    assert!(!fleet.view(new).replaced);
+    let (old, new) = (life(&fleet, 1), life(&fleet, new));
+    for at in [0, 2, 3, 4, 5] {
+        let view = fleet.view(at);
+        assert_eq!(view.locate(old), Located::Gone { successor: None });
+        assert!(matches!(view.locate(new), Located::Peer(_)));
+    }
+}
+
+#[test]
+fn pause_grace() {
+    let mut fleet = Fleet::settled(&["a"], 3);
+    fleet.nodes[1].down = true;
+    fleet.run(Millis(60_000));
+    fleet.nodes[1].down = false;
+    fleet.step();
+    let view = fleet.view(1);
+    assert_eq!(view.live, 3);
+    assert_eq!(fleet.nodes[1].state.counters().pauses, 1);
+    fleet.run(Millis(16_000));
+    assert!(fleet.views().iter().all(|v| v.live == 3 && !v.replaced));
+}
+
+#[test]
+fn clock_back() {
+    let mut fleet = Fleet::new(&["a"], 0);
+    for n in 0..4 {
+        fleet.start(vm("a", n, 50));
+    }
+    fleet.list_all();
+    fleet.run(Millis(5000));
+    let old = life(&fleet, 1);
+    fleet.nodes[1].down = true;
+    fleet.run(Millis(5000));
+    let new = fleet.start(vm("a", 1, 7));
+    fleet.list_all();
+    fleet.run(Millis(8000));
+    let new = life(&fleet, new);
+    for view in fleet.views() {
+        assert!(!view.replaced);
+        assert_eq!(view.locate(old), Located::Gone { successor: None });
+        assert!(matches!(view.locate(new), Located::Peer(_) | Located::Here));
+    }
+}
+
+#[test]
+fn reused_address() {
+    let mut fleet = Fleet::settled(&["a"], 3);
+    let dead = fleet.nodes[1].vm.clone();
+    fleet.nodes[1].down = true;
+    let mut other = vm("a", 8, 1);
+    other.peers = dead.peers;
+    let other = fleet.start(other);
+    fleet.run(Millis(3000));
+    let view = fleet.view(0);
+    assert_eq!(view.locate(dead.incarnation), Located::Away(dead.peers));
+    assert_eq!(view.locate(life(&fleet, other)), Located::Peer(dead.peers));
+    assert!(fleet.nodes[0].state.counters().wrong_vm > 0);
+}
+
+#[test]
+fn planned_stop() {
+    let mut fleet = Fleet::settled(&REGIONS, 4);
+    let (one, two, three) = (life(&fleet, 0), life(&fleet, 1), life(&fleet, 2));
+    let now = fleet.now;
+    fleet.nodes[0].state.leave(now);
+    fleet.run(Millis(500));
+    let me = fleet.nodes[0].vm.id.clone();
+    for view in fleet.views().iter().skip(1) {
+        let peer = view.peers.iter().find(|p| p.id == me).unwrap();
+        assert_eq!(peer.presence, Presence::Leaving);
+        assert_eq!(view.live, 19);
+    }
+    let now = fleet.now;
+    fleet.nodes[0].state.hand_over(now, two);
+    assert!(!fleet.nodes[0].state.is_announced(now));
+    fleet.run(Millis(500));
+    let now = fleet.now;
+    assert!(fleet.nodes[0].state.is_announced(now));
+    fleet.nodes[0].down = true;
+    for view in fleet.views() {
+        assert_eq!(
+            view.locate(one),
+            Located::Gone {
+                successor: Some(two)
+            }
+        );
+        assert!(!view.replaced);
+    }
+    // The successor stops in its turn.
+    let now = fleet.now;
+    fleet.nodes[1].state.hand_over(now, three);
+    fleet.run(Millis(500));
+    fleet.nodes[1].down = true;
+    for view in fleet.views() {
+        assert_eq!(
+            view.locate(one),
+            Located::Gone {
+                successor: Some(three)
+            }
+        );
+    }
+}
+
+#[test]
+fn regions_cut() {
+    let mut fleet = Fleet::settled(&REGIONS, 4);
+    for node in fleet.nodes.iter_mut().skip(12) {
+        node.side = 1;
+    }
+    fleet.run(Millis(300_000));
+    let views = fleet.views();
+    assert!(views[..12].iter().all(|v| v.live == 12));
+    assert!(views[12..].iter().all(|v| v.live == 8));
+    for node in &mut fleet.nodes {
+        node.side = 0;
+    }
+    fleet.run(Millis(25_000));
+    for view in fleet.views() {
+        assert_eq!(view.live, 20);
+        assert!(view.departed.is_empty());
+    }
+}
+
+#[test]
+fn stale_listing() {
+    let mut fleet = Fleet::settled(&["a"], 3);
+    let mut list = listing(&fleet.vms());
+    for n in 100..400 {
+        list.vms.push(common::listed(&vm("a", n, 1)));
+    }
+    let now = fleet.now;
+    fleet.nodes[0].state.on_listing(now, list.clone());
+    fleet.run(Millis(30_000));
+    let before = fleet.sent;
+    fleet.run(Millis(10_000));
+    // Three VMs at 6 a second, and four tries a second at the dead ones.
+    assert!(fleet.sent - before < 10 * (3 * 6 + 4) * 5 / 4);
+    assert!(fleet.nodes[0].state.sizes()[0] <= membership::MAX_PEERS);
+    let view = fleet.view(0);
+    assert_eq!(view.live, 3);
+}
+
+#[test]
+fn off_the_list() {
+    let mut fleet = Fleet::settled(&["a", "b"], 2);
+    let dead = life(&fleet, 1);
+    fleet.nodes[1].down = true;
+    fleet.run(Millis(90_000));
+    assert!(matches!(fleet.view(0).locate(dead), Located::Away(_)));
+    // The list lacks it now, but a cut-off VM would still be listed.
+    fleet.list_all();
+    fleet.run(Millis(61_000));
+    for view in fleet.views() {
+        assert_eq!(view.locate(dead), Located::Gone { successor: None });
+    }
+}
+
+#[test]
+fn unlisted_but_heard() {
+    let mut fleet = Fleet::settled(&["a"], 3);
+    let mut list = listing(&fleet.vms());
+    list.vms.remove(1);
+    let now = fleet.now;
+    fleet.nodes[0].state.on_listing(now, list);
+    fleet.run(Millis(200_000));
+    let there = life(&fleet, 1);
+    assert!(matches!(fleet.view(0).locate(there), Located::Peer(_)));
+}
+
+#[test]
+fn request_results() {
+    let mut fleet = Fleet::settled(&["a"], 2);
+    let (id, there) = (fleet.nodes[1].vm.id.clone(), life(&fleet, 1));
+    let now = fleet.now;
+    let state = &mut fleet.nodes[0].state;
+    state.on_request(now, &id, Contact::Lost);
+    assert!(matches!(state.view(now).locate(there), Located::Peer(_)));
+    for _ in 0..50 {
+        state.on_request(now, &id, Contact::Lost);
+    }
+    assert!(matches!(state.view(now).locate(there), Located::Away(_)));
+    fleet.run(Millis(1000));
+    assert!(matches!(fleet.view(0).locate(there), Located::Peer(_)));
+}
+
+#[test]
+fn sheet_ahead() {
+    let mut fleet = Fleet::settled(&["a"], 3);
+    fleet.nodes[2].state.set_offsets(Some(Offset(7)), None);
+    fleet.nodes[2]
+        .state
+        .set_offsets(Some(Offset(3)), Some(Offset(9)));
+    fleet.run(Millis(500));
+    let view = fleet.view(0);
+    let ahead = view.ahead(Some(Offset(6))).unwrap();
+    assert_eq!(
+        (ahead.sheet, ahead.claims),
+        (Some(Offset(7)), Some(Offset(9)))
+    );
+    assert!(view.ahead(Some(Offset(7))).is_none());
+}
+
+#[test]
+fn unknown_owner() {
+    let mut fleet = Fleet::settled(&["a"], 2);
+    let stranger = vm("z", 9, 9).incarnation;
+    assert_eq!(fleet.view(0).locate(stranger), Located::NeverSeen);
+    let own = life(&fleet, 0);
+    assert_eq!(fleet.view(0).locate(own), Located::Here);
+}
--- /dev/null
+++ b/components/membership/tests/leaving.rs
@@ -0,0 +1,90 @@
+//! How VMs learn of leaving minions, without the platform.
+
+mod common;
+
+use common::{Fleet, TICK, minion};
+use kernel::{Millis, MinionId};
+use membership::Listing;
+
+const REGIONS: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+/// Runs until all VMs of a domain know of the minions, and answers the time.
+fn time_to_know(fleet: &mut Fleet, domain: &str, minions: &[MinionId]) -> Millis {
+    let there: Vec<usize> = (0..fleet.nodes.len())
+        .filter(|i| fleet.nodes[*i].vm.domain.as_str() == domain)
+        .collect();
+    for round in 0..200 {
+        let knows = |fleet: &mut Fleet, at| {
+            let view = fleet.view(at);
+            minions.iter().all(|m| view.is_leaving(m))
+        };
+        if there.iter().all(|at| knows(fleet, *at)) {
+            return Millis(round * TICK.0);
+        }
+        fleet.step();
+    }
+    panic!("never known");
+}
+
+#[test]
+fn one_tells() {
+    let mut fleet = Fleet::settled(&REGIONS, 8);
+    for n in 0..20 {
+        let gone = minion("a", n);
+        let now = fleet.now;
+        fleet.nodes[n % 8].state.mark_leaving(now, gone.clone());
+        assert!(time_to_know(&mut fleet, "a", &[gone]) <= Millis(600));
+        fleet.run(Millis(700));
+    }
+}
+
+#[test]
+fn other_domain() {
+    let mut fleet = Fleet::settled(&REGIONS, 8);
+    let gone = minion("a", 3);
+    let now = fleet.now;
+    fleet.nodes[39].state.mark_leaving(now, gone.clone());
+    assert!(time_to_know(&mut fleet, "a", &[gone]) <= Millis(2000));
+}
+
+#[test]
+fn bulk() {
+    let mut fleet = Fleet::settled(&REGIONS, 8);
+    let gone: Vec<MinionId> = (0..830).map(|n| minion("a", n)).collect();
+    let list = Listing {
+        vms: common::listing(&fleet.vms()).vms,
+        leaving: gone.clone(),
+    };
+    let now = fleet.now;
+    fleet.nodes[2].state.on_listing(now, list);
+    assert!(time_to_know(&mut fleet, "a", &gone) <= Millis(2000));
+}
+
+#[test]
+fn marks_end() {
+    let mut fleet = Fleet::settled(&["a", "b"], 4);
+    let now = fleet.now;
+    fleet.nodes[0].state.mark_leaving(now, minion("a", 1));
+    fleet.run(Millis(59_000));
+    assert!(fleet.view(0).is_leaving(&minion("a", 1)));
+    fleet.run(Millis(3_000));
+    for view in fleet.views() {
+        assert!(view.leaving.is_empty());
+    }
+}
+
+#[test]
+fn listed_stays() {
+    let mut fleet = Fleet::settled(&["a"], 3);
+    let list = Listing {
+        vms: common::listing(&fleet.vms()).vms,
+        leaving: vec![minion("a", 1)],
+    };
+    let now = fleet.now;
+    fleet.nodes[0].state.on_listing(now, list);
+    // The platform goes away; its last word holds for a while.
+    fleet.run(Millis(300_000));
+    for view in fleet.views() {
+        assert!(view.is_leaving(&minion("a", 1)));
+    }
+}
--- /dev/null
+++ b/components/sheet/examples/log_cost.rs
@@ -0,0 +1,119 @@
+//! Weighs whole sheets against differences as the bodies of changes, at the
+//! design size.
+//!
+//! Run: `cargo run --release -p sheet --example log_cost`
+
+use std::fmt::Write;
+use std::time::Instant;
+
+use kernel::{Millis, Offset};
+use rand::Rng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use rand_xoshiro::rand_core::SeedableRng;
+use sheet::{Base, Body, Change, ChangeId, Sheet, SheetLog, SheetRecord};
+
+/// Teams of the design size.
+const TEAMS: usize = 310;
+/// Services, each with a row in every domain.
+const SERVICES: usize = 20;
+/// Failure domains of the design size.
+const DOMAINS: usize = 5;
+/// Changes a day at the design size.
+const CHANGES: usize = 530;
+/// Rows that one change touches.
+const ROWS_CHANGED: usize = 3;
+/// Renewals of the whole sheet a day.
+const RENEWALS: usize = 2;
+
+fn rows(amounts: &[u32], team_rows: usize) -> String {
+    let mut text = String::from("what,name,where,amount\n");
+    let mut amounts = amounts.iter();
+    let mut next = || amounts.next().copied().unwrap_or(1);
+    for s in 0..SERVICES {
+        for d in 0..DOMAINS {
+            let _ = writeln!(text, "service,service-{s:02},domain-{d},{}", next());
+        }
+    }
+    for t in 0..TEAMS {
+        for d in 0..team_rows {
+            let place = if d == 0 {
+                "*".into()
+            } else {
+                format!("domain-{}", d - 1)
+            };
+            let _ = writeln!(text, "team,team-{t:03},{place},{}", next());
+        }
+    }
+    text
+}
+
+fn main() {
+    println!("team-rows sheet-rows body bytes/day bytes/change us/change(apply)");
+    for team_rows in [1, 1 + DOMAINS] {
+        for whole in [true, false] {
+            run(team_rows, whole);
+        }
+    }
+}
+
+fn run(team_rows: usize, whole: bool) {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(1);
+    let count = SERVICES * DOMAINS + TEAMS * team_rows;
+    let mut amounts = vec![10; count];
+    let mut sheet = Sheet::parse(&rows(&amounts, team_rows)).unwrap_or_else(|_| Sheet::open());
+    let mut log = SheetLog::new();
+    let mut bytes = 0;
+    let mut spent = 0.0;
+    feed(
+        &mut log,
+        change(&mut rng, Base::Empty, Body::Full(sheet.cells())),
+    );
+    for i in 0..CHANGES {
+        for _ in 0..ROWS_CHANGED {
+            amounts[rng.random_range(0..count)] = rng.random_range(0..500);
+        }
+        let Ok(new) = Sheet::parse(&rows(&amounts, team_rows)) else {
+            return;
+        };
+        let body = match whole {
+            true => Body::Full(new.cells()),
+            false => Body::against(Some(&sheet), &new),
+        };
+        let base = Base::At(log.version().unwrap_or(Offset(0)));
+        let (size, micros) = feed(&mut log, change(&mut rng, base, body));
+        bytes += size;
+        spent += micros;
+        sheet = new;
+        if i % (CHANGES / RENEWALS) == CHANGES / RENEWALS - 1
+            && let Some(renewal) = log.renewal(Millis(1))
+        {
+            bytes += feed(&mut log, SheetRecord::Renewal(renewal)).0;
+        }
+    }
+    assert_eq!(log.held().map(|h| h.sheet.as_ref()), Some(&sheet));
+    let kind = if whole { "whole" } else { "delta" };
+    println!(
+        "{team_rows:9} {count:10} {kind} {bytes:9} {:12} {:10.0}",
+        bytes / CHANGES,
+        spent / CHANGES as f64
+    );
+}
+
+fn change(rng: &mut impl Rng, base: Base, body: Body) -> SheetRecord {
+    SheetRecord::Change(Change {
+        id: ChangeId::draw(rng),
+        by: "operator-1"
+            .parse()
+            .unwrap_or_else(|_| unreachable!("a good name")),
+        base,
+        at: Millis(1_790_000_000_000),
+        body,
+    })
+}
+
+fn feed(log: &mut SheetLog, record: SheetRecord) -> (usize, f64) {
+    let text = record.to_json().unwrap_or_default();
+    let began = Instant::now();
+    log.apply(log.next(), &text);
+    (text.len(), began.elapsed().as_secs_f64() * 1e6)
+}
