--- a/components/membership/src/beat.rs
+++ b/components/membership/src/beat.rs
@@ -6,7 +6,7 @@
 use crate::vm::{Presence, Vm};
 
 /// The most VMs that one heartbeat tells of.
-pub const MAX_VM_NEWS: usize = 3;
+pub const MAX_VM_NEWS: usize = 2;
 
 /// The most leaving minions that one heartbeat tells of.
 pub const MAX_MINION_NEWS: usize = 64;
--- a/components/membership/src/departed.rs
+++ b/components/membership/src/departed.rs
@@ -85,7 +85,7 @@
 
     /// Returns some to tell, the least told first.
     pub(crate) fn batch(&mut self, max: usize) -> Vec<DepartedNews> {
-        let some = self.exits.batch(max, |_| true).into_iter();
+        let some = self.exits.batch(max, u32::MAX, |_| true).into_iter();
         let news = some.map(|(incarnation, exit)| DepartedNews {
             incarnation,
             successor: exit.successor,
--- a/components/membership/src/hear.rs
+++ b/components/membership/src/hear.rs
@@ -34,13 +34,12 @@
         let known = peer.map(|p| (p.leaving_digest, p.departed_digest));
         let (their_leaving, their_departed) = known.unwrap_or_default();
         let domain = peer.map_or(&self.me.domain, |p| &p.domain).clone();
-        let mut leaving = Sync {
-            digest: self.leaving.digest(),
-            news: Vec::new(),
+        let digest = self.leaving.digest();
+        let same = their_leaving == digest;
+        let leaving = Sync {
+            digest,
+            news: self.leaving.batch(now, MAX_MINION_NEWS, &domain, same),
         };
-        if their_leaving != leaving.digest {
-            leaving.news = self.leaving.batch(now, MAX_MINION_NEWS, &domain);
-        }
         let mut departed = Sync {
             digest: self.departed.digest(),
             news: Vec::new(),
--- a/components/membership/src/spread.rs
+++ b/components/membership/src/spread.rs
@@ -18,6 +18,8 @@
     value: V,
     /// In how many messages it was told.
     told: u32,
+    /// Its part of the set's hash.
+    hash: u64,
 }
 
 /// The set.
@@ -64,16 +66,17 @@
         let hash = entry_hash(&key, &value);
         match self.entries.get_mut(&key) {
             Some(entry) => {
-                let old = entry_hash(&key, &entry.value);
                 entry.value = value;
-                if old == hash {
+                if entry.hash == hash {
                     return false;
                 }
+                self.digest ^= entry.hash ^ hash;
+                entry.hash = hash;
                 entry.told = 0;
-                self.digest ^= old ^ hash;
             }
             None => {
-                self.entries.insert(key, Entry { value, told: 0 });
+                let told = 0;
+                self.entries.insert(key, Entry { value, told, hash });
                 self.digest ^= hash;
             }
         }
@@ -83,16 +86,30 @@
     /// Takes a member out.
     pub(crate) fn remove(&mut self, key: &K) {
         if let Some(entry) = self.entries.remove(key) {
-            self.digest ^= entry_hash(key, &entry.value);
+            self.digest ^= entry.hash;
         }
     }
 
-    /// Returns up to `max` members, those that `first` picks before the others
-    /// and the least told of them first, and counts them as told.
-    pub(crate) fn batch(&mut self, max: usize, first: impl Fn(&K) -> bool) -> Vec<(K, &V)> {
+    /// Has a member told again as if it were new.
+    pub(crate) fn renew(&mut self, key: &K) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.told = 0;
+        }
+    }
+
+    /// Returns up to `max` members that were told less than `below` times, those
+    /// that `first` picks before the others and the least told of them first,
+    /// and counts them as told.
+    pub(crate) fn batch(
+        &mut self,
+        max: usize,
+        below: u32,
+        first: impl Fn(&K) -> bool,
+    ) -> Vec<(K, &V)> {
         let mut order: Vec<(bool, u32, K)> = self
             .entries
             .iter()
+            .filter(|(_, e)| e.told < below)
             .map(|(k, e)| (!first(k), e.told, k.clone()))
             .collect();
         if order.len() > max {
