--- a/components/limits/src/ledger.rs
+++ b/components/limits/src/ledger.rs
@@ -283,6 +283,9 @@
             let loan = self.lent.entry(vm).or_default();
             loan.now += got;
             loan.peak = loan.peak.max(loan.now);
+            if let Some(report) = self.reports.get_mut(&vm) {
+                report.want = report.want.saturating_sub(got);
+            }
             lent += got;
             self.apply();
         }
