routing: soft leases on free slots and a budget of refusals

Change: what peers believe this VM uses, and its part of what all believe is free, is taken first; other slots only within a budget of refusals.

--- a/components/routing/examples/policy.rs
+++ b/components/routing/examples/policy.rs
@@ -113,7 +113,7 @@
 fn jobs(sc: &Scenario, seed: u64) -> Vec<Job> {
     let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
     let runs = LogNormal::new((200_000f64).ln(), 0.6).unwrap();
-    let mut draw = |rng: &mut Xoshiro256PlusPlus| runs.sample(rng).clamp(50e3, 1e6) as u64;
+    let draw = |rng: &mut Xoshiro256PlusPlus| runs.sample(rng).clamp(50e3, 1e6) as u64;
     let mean = (0..100_000).map(|_| draw(&mut rng)).sum::<u64>() as f64 / 1e5;
     let tasks = 139.0 / 140f64.ln();
     let rate = sc.load * MINIONS as f64 * f64::from(SLOTS) / mean / tasks;
@@ -530,17 +530,21 @@
     row(Random::NAME, sc, &run(|| Random, sc, &jobs));
     row(LeastOwn::NAME, sc, &run(|| LeastOwn, sc, &jobs));
     row(Split::NAME, sc, &run(|| Split, sc, &jobs));
-    row(Balanced::NAME, sc, &run(Balanced::default, sc, &jobs));
+    row(Balanced::NAME, sc, &run(|| Balanced, sc, &jobs));
 }
 
 fn main() {
     let seed = std::env::args().nth(1).map_or(1, |s| s.parse().unwrap());
+    let quick = std::env::args().nth(2).is_some();
     println!("seed {seed}; response over ideal of jobs, 50 minions of 8 slots");
     for vms in [1, 3, 8] {
         for load in [0.5, 0.7, 0.9, 1.2] {
             compare("No faults.", &Scenario { vms, load, ..BASE }, seed);
         }
     }
+    if quick {
+        return;
+    }
     let faults = [
         ("One minion of 50 fails everything fast.", Fault::FailsAll),
         ("One minion of 50 is 20 times slower.", Fault::Slow(20)),
--- a/components/routing/src/config.rs
+++ b/components/routing/src/config.rs
@@ -67,6 +67,9 @@
     pub eject_max: u32,
     /// How long a peer's digest counts.
     pub peer_ttl: Millis,
+    /// Refusals that may be risked for each thousand tasks, beyond the slots
+    /// on soft lease.
+    pub refusals: u32,
     /// The seed of the random draws.
     pub seed: u64,
 }
@@ -81,6 +84,7 @@
             hold_max: Millis(300_000),
             eject_max: 30,
             peer_ttl: Millis(2000),
+            refusals: 8,
             seed: 1,
         }
     }
@@ -98,6 +102,7 @@
             hold_max: span("eject_hold_max", base.hold_max),
             eject_max: section.get("eject_max_percent").unwrap_or(base.eject_max),
             peer_ttl: span("peer_ttl", base.peer_ttl),
+            refusals: section.get("refusals_permille").unwrap_or(base.refusals),
             ..base
         }
     }
@@ -137,6 +142,12 @@
                 default: Some("30"),
                 help: "The greatest part of a domain's minions that may be ejected.",
             },
+            Key {
+                name: "refusals_permille",
+                kind: Kind::Count(0, 1000),
+                default: Some("8"),
+                help: "Refusals risked for each thousand tasks, to use slots that peers may take.",
+            },
             Key {
                 name: "peer_ttl",
                 kind: Kind::Span(100, 60_000),
--- a/components/routing/src/fleet.rs
+++ b/components/routing/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use kernel::{Cores, Domain, MinionId, Service, Slots, Timestamp, VmId};
 
-use crate::bits::Mask;
+use crate::bits::{AtomicBits, Mask};
 use crate::config::RoutingConfig;
 use crate::digest::Digest;
 use crate::health::Mode;
@@ -80,12 +80,18 @@
         self.shared.refresh_due(now);
         let table = self.shared.table.load();
         let offer = offer(&table, service, cores)?;
-        let ask = Ask { cores, avoid, now };
-        let local = self.pick(&table, &offer.local, &ask);
+        let ask = Ask {
+            cores,
+            avoid,
+            now,
+            safe: false,
+        };
+        let local = self.pick_local(&table, &offer.local, &ask);
         let node = match local {
             Some(node) => node,
             None => self.spill(&table, offer, &ask).ok_or(Unavailable::Full)?,
         };
+        self.shared.budget.earn();
         let demand = offer.demand.clone();
         Ok(Slot::new(self.shared.clone(), node, demand, now))
     }
@@ -146,20 +152,31 @@
         None
     }
 
+    /// Picks a minion of the home domain: on soft lease first, else where the
+    /// budget allows to risk a refusal.
+    fn pick_local(&self, table: &Table, mask: &Mask, ask: &Ask) -> Option<Arc<Node>> {
+        let safe = Ask { safe: true, ..*ask };
+        let leased = self.pick(table, mask, &safe);
+        if leased.is_some() || !self.shared.budget.allows() {
+            return leased;
+        }
+        self.pick(table, mask, ask)
+    }
+
     /// Picks a minion of the set and takes a place on it.
     fn pick(&self, table: &Table, mask: &Mask, ask: &Ask) -> Option<Arc<Node>> {
         if P::CHOICES == usize::MAX {
             return self.scan(table, mask, ask);
         }
         for _ in 0..ROUNDS {
-            let open = mask.count(&table.open);
+            let open = mask.count(ask.bits(table));
             if open == 0 {
                 return None;
             }
             let Some(best) = self.sample(table, mask, open, ask) else {
                 continue;
             };
-            if self.take(&table.nodes[best], ask.now) {
+            if self.take(&table.nodes[best], ask) {
                 return Some(table.nodes[best].clone());
             }
         }
@@ -171,7 +188,7 @@
         let mut best = None;
         for _ in 0..P::CHOICES.min(open as usize) {
             let nth = self.draw(open);
-            let Some(at) = mask.nth(&table.open, nth) else {
+            let Some(at) = mask.nth(ask.bits(table), nth) else {
                 continue;
             };
             let Some(cost) = self.cost(table, at, ask) else {
@@ -188,11 +205,11 @@
     /// place on the best.
     fn scan(&self, table: &Table, mask: &Mask, ask: &Ask) -> Option<Arc<Node>> {
         loop {
-            let open = mask.count(&table.open);
+            let open = mask.count(ask.bits(table));
             let from = self.draw(open.max(1));
             let mut best = None;
             for nth in (from..open).chain(0..from) {
-                let Some(at) = mask.nth(&table.open, nth) else {
+                let Some(at) = mask.nth(ask.bits(table), nth) else {
                     continue;
                 };
                 let Some(cost) = self.cost(table, at, ask) else {
@@ -203,7 +220,7 @@
                 }
             }
             let (_, at) = best?;
-            if self.take(&table.nodes[at], ask.now) {
+            if self.take(&table.nodes[at], ask) {
                 return Some(table.nodes[at].clone());
             }
         }
@@ -217,41 +234,42 @@
             return None;
         }
         let load = self.load(node);
-        if self.usable(node, &load, ask.now) {
+        if self.usable(node, &load, ask) {
             return Some(self.policy.cost(&load));
         }
         // A slot freed between the look and the strike would be lost, so look
         // again.
-        table.open.clear(at);
-        if self.usable(node, &self.load(node), ask.now) {
-            table.open.set(at);
+        ask.bits(table).clear(at);
+        if self.usable(node, &self.load(node), ask) {
+            ask.bits(table).set(at);
         }
         None
     }
 
     /// Takes a place on a minion, unless others were faster.
-    fn take(&self, node: &Node, now: Timestamp) -> bool {
+    fn take(&self, node: &Node, ask: &Ask) -> bool {
         let own = &node.state.own;
         loop {
             let load = self.load(node);
-            if !self.usable(node, &load, now) {
+            if !self.usable(node, &load, ask) {
                 return false;
             }
             let swap =
                 own.compare_exchange(load.own, load.own + 1, Ordering::SeqCst, Ordering::SeqCst);
             if swap.is_ok() {
-                node.state.starts.fetch_add(now.0, Ordering::SeqCst);
+                node.state.starts.fetch_add(ask.now.0, Ordering::SeqCst);
                 return true;
             }
         }
     }
 
     /// Tells whether the minion may get another task.
-    fn usable(&self, node: &Node, load: &Load, now: Timestamp) -> bool {
-        if load.own >= load.slots || node.state.closed.load(Ordering::Relaxed) > now.0 {
+    fn usable(&self, node: &Node, load: &Load, ask: &Ask) -> bool {
+        if load.own >= load.slots || node.state.closed.load(Ordering::Relaxed) > ask.now.0 {
             return false;
         }
         match node.state.mode() {
+            Mode::Normal if ask.safe => self.policy.safe(load),
             Mode::Normal => self.policy.open(load),
             Mode::Suspect | Mode::Ejected => load.own == 0,
         }
@@ -263,6 +281,7 @@
             own: node.state.own.load(Ordering::SeqCst),
             peers: node.state.peers.load(Ordering::Relaxed),
             share: self.shared.share(node),
+            lease: node.state.lease.load(Ordering::Relaxed),
             slots: node.info.slots.0,
         }
     }
@@ -285,6 +304,15 @@
     avoid: &'a [MinionId],
     /// The time.
     now: Timestamp,
+    /// Whether only slots on soft lease will do.
+    safe: bool,
+}
+
+impl Ask<'_> {
+    /// Returns the hint of where such slots are.
+    fn bits<'t>(&self, table: &'t Table) -> &'t AtomicBits {
+        if self.safe { &table.safe } else { &table.open }
+    }
 }
 
 /// Finds a service's minions.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! costs a message or some waiting.
 
 mod bits;
+mod budget;
 mod config;
 mod demand;
 mod digest;
--- a/components/routing/src/minion.rs
+++ b/components/routing/src/minion.rs
@@ -54,6 +54,10 @@
     pub(crate) own: AtomicU32,
     /// Tasks of other VMs there, as last heard.
     pub(crate) peers: AtomicU32,
+    /// Tasks of this VM there as its last digest said.
+    pub(crate) reported: AtomicU32,
+    /// Slots on soft lease to this VM ([`crate::Load::lease`]).
+    pub(crate) lease: AtomicU32,
     /// When it may be picked again, in microseconds of [`Timestamp`].
     pub(crate) closed: AtomicU64,
     /// The [`Mode`], as its number.
--- a/components/routing/src/policy.rs
+++ b/components/routing/src/policy.rs
@@ -7,8 +7,11 @@
     pub own: u32,
     /// Tasks of other VMs there, as last heard.
     pub peers: u32,
-    /// This VM's part of the slots, when the VMs of the domain split them.
+    /// This VM's fixed part of the slots.
     pub share: u32,
+    /// Slots that no peer takes while digests are fresh: those that this VM
+    /// reported as used, and its part of those that were free.
+    pub lease: u32,
     /// The slots of the minion.
     pub slots: u32,
 }
@@ -27,6 +30,12 @@
     /// Whether another task may go to the minion.
     fn open(&self, load: &Load) -> bool;
 
+    /// Whether another task may go there with little risk of a refusal. Such
+    /// minions come first; the others are used within the refusal budget.
+    fn safe(&self, load: &Load) -> bool {
+        self.open(load)
+    }
+
     /// What the comparison minimises.
     fn cost(&self, load: &Load) -> u32;
 }
@@ -85,13 +94,11 @@
     }
 }
 
-/// Own and peers' tasks together, with slots beyond the own part taken only
-/// where peers leave room (docs/design/routing.md).
+/// Own and peers' tasks together. Slots on soft lease come first, and others
+/// that look free are tried within the refusal budget
+/// (docs/design/routing.md#slots).
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Balanced {
-    /// Slots that stay free for peers where this VM is beyond its own part.
-    pub margin: u32,
-}
+pub struct Balanced;
 
 impl Policy for Balanced {
     const NAME: &'static str = "balanced";
@@ -99,12 +106,11 @@
     const OUTLIERS: bool = true;
 
     fn open(&self, load: &Load) -> bool {
-        let margin = if load.own < load.share {
-            0
-        } else {
-            self.margin
-        };
-        load.own + load.peers + margin < load.slots
+        load.own + load.peers < load.slots || load.own < load.lease
+    }
+
+    fn safe(&self, load: &Load) -> bool {
+        load.own < load.lease
     }
 
     fn cost(&self, load: &Load) -> u32 {
--- a/components/routing/src/shared.rs
+++ b/components/routing/src/shared.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use kernel::{Domain, HashMap, Millis, Timestamp, VmId};
 
+use crate::budget::Budget;
 use crate::config::RoutingConfig;
 use crate::demand::Demand;
 use crate::digest::{Digest, Evidence, MAX_EVIDENCE, MAX_LOADS};
@@ -68,6 +69,8 @@
     refreshed: AtomicU64,
     /// Own tasks on the home domain's minions at the last refresh.
     busy: AtomicU32,
+    /// How many refusals may still be risked.
+    pub(crate) budget: Budget,
     /// Slots given back that nobody held.
     pub(crate) broken: AtomicU64,
 }
@@ -77,6 +80,7 @@
     pub(crate) fn new(home: Domain, cfg: RoutingConfig, outliers: bool) -> Shared {
         let table = Table::build(&[], &home, |_| 0, None);
         Shared {
+            budget: Budget::new(cfg.refusals),
             home,
             cfg,
             outliers,
@@ -124,6 +128,17 @@
         node.info.slots.0 / live + u32::from(odd)
     }
 
+    /// Returns the slots on soft lease: what peers believe this VM uses, and
+    /// its part of what all believe is free.
+    fn lease(&self, node: &Node) -> u32 {
+        let live = self.live.load(Ordering::Relaxed) as u32;
+        let mine = node.state.reported.load(Ordering::Relaxed);
+        let used = mine + node.state.peers.load(Ordering::Relaxed);
+        let free = node.info.slots.0.saturating_sub(used);
+        let odd = self.place(node) < free % live;
+        mine + free / live + u32::from(odd)
+    }
+
     /// Returns this VM's place in the order of VMs for one minion.
     fn place(&self, node: &Node) -> u32 {
         let live = self.live.load(Ordering::Relaxed) as u64;
@@ -143,6 +158,7 @@
         let now = table.nodes.get(at);
         if now.is_some_and(|n| Arc::ptr_eq(&n.state, &node.state)) {
             table.open.set(at);
+            table.safe.set(at);
         }
     }
 
@@ -172,6 +188,7 @@
         for (at, node) in table.nodes.iter().enumerate() {
             if node.state.own.load(Ordering::Relaxed) < node.info.slots.0 {
                 table.open.set(at);
+                table.safe.set(at);
             }
         }
     }
@@ -191,6 +208,8 @@
             let loads = same.iter().filter_map(|p| p.digest.loads.get(i));
             let sum = loads.map(|&n| u32::from(n)).sum();
             state.peers.store(sum, Ordering::Relaxed);
+            let lease = self.lease(&table.nodes[at]);
+            state.lease.store(lease, Ordering::Relaxed);
             busy += state.own.load(Ordering::Relaxed);
         }
         self.busy.store(busy, Ordering::Relaxed);
@@ -244,6 +263,7 @@
             Finish::Answered { run } => self.answered(node, demand.ran(run), now),
             Finish::TaskFailed | Finish::Lost => self.failed(node, now),
             Finish::NotStarted => {
+                self.budget.spend();
                 let back = lock(&node.state.health).refused();
                 node.state.close(now.after(back));
             }
@@ -359,10 +379,15 @@
 
     /// Sums up this VM's view.
     pub(crate) fn digest(&self, now: Timestamp) -> Digest {
-        self.refresh(now);
         let table = self.table.load();
+        for &at in &table.home {
+            let state = &table.nodes[at].state;
+            let own = state.own.load(Ordering::Relaxed);
+            state.reported.store(own, Ordering::Relaxed);
+        }
+        self.refresh(now);
         let home = || table.home.iter().map(|&at| &table.nodes[at]);
-        let own = |n: &Arc<Node>| n.state.own.load(Ordering::Relaxed).min(255) as u8;
+        let own = |n: &Arc<Node>| n.state.reported.load(Ordering::Relaxed).min(255) as u8;
         Digest {
             domain: Some(self.home.clone()),
             members: table.members,
--- a/components/routing/src/table.rs
+++ b/components/routing/src/table.rs
@@ -38,6 +38,8 @@
     pub(crate) nodes: Vec<Arc<Node>>,
     /// Those that may have a free place; a hint that the pick checks.
     pub(crate) open: AtomicBits,
+    /// Those that may have a place on soft lease; a hint likewise.
+    pub(crate) safe: AtomicBits,
     /// Minions that stay, by service.
     pub(crate) offers: HashMap<Service, Offer>,
     /// Positions of the home domain's minions, in the order of ids.
@@ -68,6 +70,7 @@
             .collect();
         Table {
             open: AtomicBits::full(nodes.len()),
+            safe: AtomicBits::full(nodes.len()),
             offers: offers(&nodes, home, near, old),
             members: members(&nodes, &positions),
             home: positions,
