--- a/components/routing/examples/policy.rs
+++ b/components/routing/examples/policy.rs
@@ -307,6 +307,8 @@
                 None => break,
             }
         }
+        let waiting = self.vms[vm].queue.len();
+        self.vms[vm].fleet.set_waiting(&service(), waiting);
         if !self.vms[vm].queue.is_empty() && !self.vms[vm].ticking {
             self.vms[vm].ticking = true;
             self.at(TICK, Event::Tick(vm));
--- a/components/routing/src/demand.rs
+++ b/components/routing/src/demand.rs
@@ -46,6 +46,11 @@
         self.waiting.store(tasks as u32, Ordering::Relaxed);
     }
 
+    /// Returns the number of tasks that wait.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
     /// Estimates in microseconds how long one more task waits for one of
     /// `busy` slots.
     pub(crate) fn wait(&self, busy: u32) -> u64 {
--- a/components/routing/src/digest.rs
+++ b/components/routing/src/digest.rs
@@ -9,8 +9,9 @@
 /// The most minions of which a digest carries evidence.
 pub(crate) const MAX_EVIDENCE: usize = 32;
 
-/// A VM's view in at most about a kilobyte: one byte a minion of its domain
-/// and 14 bytes for each of at most 32 suspects.
+/// A VM's view in at most about two kilobytes: two bytes a minion of its
+/// domain, 14 for each of at most 32 suspects and 4 for each of at most 128
+/// grants.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Digest {
     /// The sender's domain; `None` only in the empty digest.
@@ -19,6 +20,15 @@
     pub members: u64,
     /// The sender's tasks on each minion of its domain, in the order of ids.
     pub loads: Vec<u8>,
+    /// The slots that the sender has on lease there, in the same order.
+    pub leases: Vec<u8>,
+    /// Leases that the sender hands over with this digest; `leases` is less
+    /// by them.
+    pub grants: Vec<Grant>,
+    /// The sender's rank among the domain's live VMs.
+    pub rank: u8,
+    /// Free leases of the sender, less its tasks that wait.
+    pub spare: i32,
     /// Free slots in the domain, as the sender believes.
     pub free: u32,
     /// All slots in the domain.
@@ -27,6 +37,17 @@
     pub evidence: Vec<Evidence>,
 }
 
+/// Leases handed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The minion's position in the order of ids.
+    pub minion: u16,
+    /// The rank of the VM that gets them.
+    pub rank: u8,
+    /// How many.
+    pub slots: u8,
+}
+
 /// A minion that failed tasks of the sender.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
--- a/components/routing/src/fleet.rs
+++ b/components/routing/src/fleet.rs
@@ -282,6 +282,7 @@
             peers: node.state.peers.load(Ordering::Relaxed),
             share: self.shared.share(node),
             lease: node.state.lease.load(Ordering::Relaxed),
+            reported: node.state.reported.load(Ordering::Relaxed),
             slots: node.info.slots.0,
         }
     }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -11,6 +11,7 @@
 mod digest;
 mod fleet;
 mod health;
+mod lease;
 mod minion;
 mod policy;
 mod remote;
@@ -19,7 +20,7 @@
 mod table;
 
 pub use config::{PolicyKind, RoutingConfig};
-pub use digest::{Digest, Evidence};
+pub use digest::{Digest, Evidence, Grant};
 pub use fleet::Fleet;
 pub use health::Mode;
 pub use minion::{MinionInfo, MinionStatus};
--- a/components/routing/src/minion.rs
+++ b/components/routing/src/minion.rs
@@ -58,6 +58,8 @@
     pub(crate) reported: AtomicU32,
     /// Slots on soft lease to this VM ([`crate::Load::lease`]).
     pub(crate) lease: AtomicU32,
+    /// Digests in a row after which all leases together were not the slots.
+    pub(crate) drift: AtomicU32,
     /// When it may be picked again, in microseconds of [`Timestamp`].
     pub(crate) closed: AtomicU64,
     /// The [`Mode`], as its number.
--- a/components/routing/src/policy.rs
+++ b/components/routing/src/policy.rs
@@ -9,9 +9,11 @@
     pub peers: u32,
     /// This VM's fixed part of the slots.
     pub share: u32,
-    /// Slots that no peer takes while digests are fresh: those that this VM
-    /// reported as used, and its part of those that were free.
+    /// Slots on soft lease to this VM, which no peer takes but at its own
+    /// risk.
     pub lease: u32,
+    /// Tasks of this VM there as peers were last told.
+    pub reported: u32,
     /// The slots of the minion.
     pub slots: u32,
 }
@@ -114,6 +116,13 @@
     }
 
     fn cost(&self, load: &Load) -> u32 {
-        load.own + load.peers
+        // A slot freed since the last digest looks taken to peers, so none of
+        // them risks it.
+        let seen = if load.own < load.reported {
+            0
+        } else {
+            load.slots
+        };
+        seen + load.own + load.peers
     }
 }
--- a/components/routing/src/shared.rs
+++ b/components/routing/src/shared.rs
@@ -35,11 +35,11 @@
 
 /// What a peer VM said last.
 #[derive(Debug)]
-struct Peer {
+pub(crate) struct Peer {
     /// When it came.
     at: Timestamp,
-    /// What it said.
-    digest: Digest,
+    /// What it said, with the leases that it was granted since.
+    pub(crate) digest: Digest,
 }
 
 /// The state behind a fleet and its slots.
@@ -56,11 +56,11 @@
     /// Held while the table is built and swapped.
     writer: Mutex<()>,
     /// This VM's rank among the domain's live VMs.
-    rank: AtomicUsize,
+    pub(crate) rank: AtomicUsize,
     /// The number of the domain's live VMs.
-    live: AtomicUsize,
+    pub(crate) live: AtomicUsize,
     /// Peers' digests, by VM.
-    peers: Mutex<HashMap<VmId, Peer>>,
+    pub(crate) peers: Mutex<HashMap<VmId, Peer>>,
     /// What is known of other domains.
     remotes: Mutex<Remotes>,
     /// The ordinary failure rate, as the bits of an `f64`.
@@ -128,19 +128,8 @@
         node.info.slots.0 / live + u32::from(odd)
     }
 
-    /// Returns the slots on soft lease: what peers believe this VM uses, and
-    /// its part of what all believe is free.
-    fn lease(&self, node: &Node) -> u32 {
-        let live = self.live.load(Ordering::Relaxed) as u32;
-        let mine = node.state.reported.load(Ordering::Relaxed);
-        let used = mine + node.state.peers.load(Ordering::Relaxed);
-        let free = node.info.slots.0.saturating_sub(used);
-        let odd = self.place(node) < free % live;
-        mine + free / live + u32::from(odd)
-    }
-
     /// Returns this VM's place in the order of VMs for one minion.
-    fn place(&self, node: &Node) -> u32 {
+    pub(crate) fn place(&self, node: &Node) -> u32 {
         let live = self.live.load(Ordering::Relaxed) as u64;
         let rank = self.rank.load(Ordering::Relaxed) as u64;
         ((rank + node.hash % live) % live) as u32
@@ -208,8 +197,11 @@
             let loads = same.iter().filter_map(|p| p.digest.loads.get(i));
             let sum = loads.map(|&n| u32::from(n)).sum();
             state.peers.store(sum, Ordering::Relaxed);
-            let lease = self.lease(&table.nodes[at]);
-            state.lease.store(lease, Ordering::Relaxed);
+            // Until peers are heard of, each VM keeps to its fixed part.
+            if peers.is_empty() {
+                let share = self.share(&table.nodes[at]);
+                state.lease.store(share, Ordering::Relaxed);
+            }
             busy += state.own.load(Ordering::Relaxed);
         }
         self.busy.store(busy, Ordering::Relaxed);
@@ -377,21 +369,26 @@
         lock(&self.remotes).sent(domain, self.cfg.peer_ttl, now);
     }
 
-    /// Sums up this VM's view.
+    /// Sums up this VM's view and hands over leases.
     pub(crate) fn digest(&self, now: Timestamp) -> Digest {
-        let table = self.table.load();
-        for &at in &table.home {
-            let state = &table.nodes[at].state;
-            let own = state.own.load(Ordering::Relaxed);
-            state.reported.store(own, Ordering::Relaxed);
-        }
         self.refresh(now);
+        let table = self.table.load();
+        let grants = self.balance(&table, now);
         let home = || table.home.iter().map(|&at| &table.nodes[at]);
-        let own = |n: &Arc<Node>| n.state.reported.load(Ordering::Relaxed).min(255) as u8;
+        for node in home() {
+            let own = node.state.own.load(Ordering::Relaxed);
+            node.state.reported.store(own, Ordering::Relaxed);
+        }
+        let byte = |n: &AtomicU32| n.load(Ordering::Relaxed).min(255) as u8;
+        let listed = || home().take(MAX_LOADS);
         Digest {
             domain: Some(self.home.clone()),
             members: table.members,
-            loads: home().take(MAX_LOADS).map(own).collect(),
+            loads: listed().map(|n| byte(&n.state.reported)).collect(),
+            leases: listed().map(|n| byte(&n.state.lease)).collect(),
+            grants,
+            rank: self.rank.load(Ordering::Relaxed).min(255) as u8,
+            spare: self.spare(&table, now),
             free: home().map(|n| free(n)).sum(),
             slots: home().map(|n| n.info.slots.0).sum(),
             evidence: home()
@@ -414,7 +411,10 @@
             at: now,
             digest: digest.clone(),
         };
-        lock(&self.peers).insert(from.clone(), peer);
+        let mut peers = lock(&self.peers);
+        self.granted(&mut peers, digest);
+        peers.insert(from.clone(), peer);
+        drop(peers);
         if self.outliers {
             self.weigh(&digest.evidence, now);
         }
@@ -470,7 +470,7 @@
 }
 
 /// Returns when a minion may be picked again.
-fn closed(node: &Node) -> Timestamp {
+pub(crate) fn closed(node: &Node) -> Timestamp {
     Timestamp(node.state.closed.load(Ordering::Relaxed))
 }
 
