--- a/components/limits/src/order.rs
+++ b/components/limits/src/order.rs
@@ -3,9 +3,9 @@
 use kernel::{JobKey, Millis, Timestamp};
 
 /// How long a job steps back for each task that it still has to start. A job
-/// of 140 tasks lets small ones pass that arrive up to 1.4 s later, and no
+/// of 140 tasks lets small ones pass that arrive up to 4.2 s later, and no
 /// job waits behind later ones for longer than that.
-const TASK_STEP: Millis = Millis(10);
+const TASK_STEP: Millis = Millis(30);
 
 /// What a job's place in the queue rests on.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/components/routing/examples/policy.rs
+++ b/components/routing/examples/policy.rs
@@ -1,7 +1,8 @@
 //! An open-loop experiment on the decision code: several fleets share minions
 //! of 8 slots, on one event heap and without a network. All policies meet the
 //! same jobs. Run it with
-//! `cargo run --release -p routing --example policy -- SEED`.
+//! `cargo run --release -p routing --example policy -- SEED [REFUSALS]`, where
+//! REFUSALS is the budget of refusals for each thousand tasks.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -48,6 +49,7 @@
     fault: Fault,
     admission: bool,
     burst: bool,
+    refusals: u32,
 }
 
 const BASE: Scenario = Scenario {
@@ -58,6 +60,7 @@
     fault: Fault::None,
     admission: false,
     burst: false,
+    refusals: 1,
 };
 
 struct Job {
@@ -161,10 +164,11 @@
     "quote".parse().unwrap()
 }
 
-fn fleet<P: Policy>(policy: P, vm: usize, vms: usize) -> Fleet<P> {
+fn fleet<P: Policy>(policy: P, vm: usize, sc: &Scenario) -> Fleet<P> {
     let home: Domain = "a".parse().unwrap();
     let cfg = RoutingConfig {
         seed: vm as u64,
+        refusals: sc.refusals,
         ..RoutingConfig::default()
     };
     let fleet = Fleet::new(home.clone(), cfg, policy);
@@ -178,7 +182,7 @@
         leaving: false,
     };
     fleet.update(&(0..MINIONS).map(minion).collect::<Vec<_>>());
-    fleet.set_peers(vm, vms);
+    fleet.set_peers(vm, sc.vms);
     fleet
 }
 
@@ -473,7 +477,7 @@
 
 fn run<P: Policy>(make: fn() -> P, sc: &Scenario, jobs: &[Job]) -> Totals {
     let vm = |i| Vm {
-        fleet: fleet(make(), i, sc.vms),
+        fleet: fleet(make(), i, sc),
         queue: Queue::new(10_000_000),
         ticking: false,
     };
@@ -537,11 +541,13 @@
 
 fn main() {
     let seed = std::env::args().nth(1).map_or(1, |s| s.parse().unwrap());
-    let quick = std::env::args().nth(2).is_some();
+    let refusals = std::env::args().nth(2).map_or(1, |s| s.parse().unwrap());
+    let base = Scenario { refusals, ..BASE };
+    let quick = std::env::args().nth(3).is_some();
     println!("seed {seed}; response over ideal of jobs, 50 minions of 8 slots");
     for vms in [1, 3, 8] {
         for load in [0.5, 0.7, 0.9, 1.2] {
-            compare("No faults.", &Scenario { vms, load, ..BASE }, seed);
+            compare("No faults.", &Scenario { vms, load, ..base }, seed);
         }
     }
     if quick {
@@ -553,11 +559,11 @@
         ("One minion of 50 flaps every 2 s.", Fault::Flaps),
     ];
     for (title, fault) in faults {
-        compare(title, &Scenario { fault, ..BASE }, seed);
+        compare(title, &Scenario { fault, ..base }, seed);
     }
     let tight = Scenario {
         deadline: 3 * SECOND,
-        ..BASE
+        ..base
     };
     for admission in [false, true] {
         for load in [1.0, 2.0] {
--- a/components/routing/src/budget.rs
+++ b/components/routing/src/budget.rs
@@ -26,7 +26,7 @@
     pub(crate) fn new(part: u32) -> Budget {
         Budget {
             part: i64::from(part),
-            tokens: AtomicI64::new(SAVED * REFUSAL),
+            tokens: AtomicI64::new(0),
         }
     }
 
--- a/components/routing/src/config.rs
+++ b/components/routing/src/config.rs
@@ -84,7 +84,7 @@
             hold_max: Millis(300_000),
             eject_max: 30,
             peer_ttl: Millis(2000),
-            refusals: 8,
+            refusals: 1,
             seed: 1,
         }
     }
@@ -145,7 +145,7 @@
             Key {
                 name: "refusals_permille",
                 kind: Kind::Count(0, 1000),
-                default: Some("8"),
+                default: Some("1"),
                 help: "Refusals risked for each thousand tasks, to use slots that peers may take.",
             },
             Key {
