routing, limits: tests of slots, leases, outliers, spill-over, queue and quotas

Faults that they found, mended here: the count and the start times of a minion's tasks changed apart, so that a busy one could be suspected; a scan skipped minions when it struck others; a minion that left and came back forgot tasks still in flight; a VM kept all slots on lease when it learned of its peers late; a VM without a part of a tiny quota never got its turn.

--- a/components/limits/src/ledger.rs
+++ b/components/limits/src/ledger.rs
@@ -56,6 +56,9 @@
     lent: HashMap<u64, Lent>,
     /// What other VMs said last.
     reports: HashMap<u64, Report>,
+    /// The serial of the last digest that raised each VM's loan, so that VMs
+    /// take turns.
+    served: HashMap<u64, u64>,
     /// Slots of each other VM that this one has not given back.
     owed: HashMap<u64, u32>,
 }
@@ -173,6 +176,7 @@
         for account in self.accounts.values_mut() {
             account.lent.retain(|vm, _| self.peers.contains_key(vm));
             account.reports.retain(|vm, _| self.peers.contains_key(vm));
+            account.served.retain(|vm, _| self.peers.contains_key(vm));
             account.owed.retain(|vm, _| self.peers.contains_key(vm));
             account.apply();
         }
@@ -190,6 +194,7 @@
             cell,
             lent: HashMap::default(),
             reports: HashMap::default(),
+            served: HashMap::default(),
             owed: HashMap::default(),
         }
     }
@@ -213,7 +218,7 @@
         let want = self.cell.take_wanted().min(self.quota.0);
         self.recall(want, serial);
         if room {
-            self.lend(want);
+            self.lend(want, serial);
         }
         self.apply();
         self.settle();
@@ -259,9 +264,10 @@
 
     /// Lends free slots to the VMs that want some, those that hold none
     /// first. Where such a VM finds nothing free, the next slot is kept for it.
-    fn lend(&mut self, want: u32) {
+    fn lend(&mut self, want: u32, serial: u64) {
         let mut asks: Vec<_> = self.reports.iter().filter(|(_, r)| r.want > 0).collect();
-        asks.sort_by_key(|(vm, r)| (r.held > 0, **vm));
+        let last = |vm: &u64| self.served.get(vm).copied().unwrap_or(0);
+        asks.sort_by_key(|(vm, r)| (r.held > 0, last(vm), **vm));
         let needy = asks.iter().any(|(_, r)| r.held == 0);
         let asks: Vec<_> = asks.iter().map(|(vm, r)| (**vm, r.want, r.held)).collect();
         let mut kept = self.kept();
@@ -287,6 +293,7 @@
                 report.want = report.want.saturating_sub(got);
             }
             lent += got;
+            self.served.insert(vm, serial);
             self.apply();
         }
         self.reserve = u32::from(needy && lent == 0 && self.own() > 0);
--- /dev/null
+++ b/components/limits/tests/admission.rs
@@ -0,0 +1,102 @@
+//! Run times are learned, and hopeless jobs refused early.
+
+use kernel::{Millis, Service, Slots, Team};
+use limits::{Admission, Demand, LimitsConfig, RetryBudget, RunTimes};
+use proptest::prelude::*;
+
+fn quote() -> Service {
+    "quote".parse().unwrap()
+}
+
+fn team(name: &str) -> Team {
+    name.parse().unwrap()
+}
+
+#[test]
+fn declared_prior() {
+    let times = RunTimes::new();
+    let declared = Some(Millis(50));
+    assert_eq!(
+        times.quantile(&quote(), &team("t"), 0.5, declared),
+        Millis(50)
+    );
+    for _ in 0..20 {
+        times.record(&quote(), &team("t"), Millis(400));
+    }
+    let learned = times.quantile(&quote(), &team("t"), 0.5, declared).0;
+    assert!((360..=440).contains(&learned), "{learned}");
+    let other = times.quantile(&quote(), &team("u"), 0.5, declared).0;
+    assert_eq!(other, learned, "a new team starts from its service");
+}
+
+#[test]
+fn old_fades() {
+    let times = RunTimes::new();
+    for _ in 0..1000 {
+        times.record(&quote(), &team("t"), Millis(100));
+    }
+    for _ in 0..2000 {
+        times.record(&quote(), &team("t"), Millis(800));
+    }
+    let median = times.quantile(&quote(), &team("t"), 0.5, None).0;
+    assert!(median > 700, "{median}");
+}
+
+fn demand(queued: usize, tasks: usize, left: u64) -> Demand {
+    Demand {
+        queued,
+        tasks,
+        slots: Slots(100),
+        mean: Millis(200),
+        long: Millis(800),
+        left: Millis(left),
+    }
+}
+
+#[test]
+fn hopeless_job() {
+    let admission = Admission::new(LimitsConfig::default());
+    assert!(admission.admit(&demand(0, 50, 2000)).is_ok());
+    let refused = admission.admit(&demand(2000, 50, 2000)).unwrap_err();
+    assert!(refused.retry_after >= Millis(2000));
+    assert_eq!(admission.refused(), 1);
+}
+
+#[test]
+fn full_queue() {
+    let cfg = LimitsConfig {
+        admission: false,
+        queue_max: 100,
+        ..LimitsConfig::default()
+    };
+    let admission = Admission::new(cfg);
+    assert!(admission.admit(&demand(60, 40, 1)).is_ok());
+    assert!(admission.admit(&demand(61, 40, 1)).is_err());
+}
+
+#[test]
+fn retry_part() {
+    let budget = RetryBudget::new(10);
+    while budget.retry() {}
+    for _ in 0..100 {
+        budget.tried();
+    }
+    let retries = std::iter::from_fn(|| budget.retry().then_some(())).count();
+    assert_eq!(retries, 10);
+}
+
+proptest! {
+    /// A quantile lies within a bucket of the true one.
+    #[test]
+    fn quantile_near(mut runs in prop::collection::vec(1..5000u64, 8..200), q in 0.05..0.99f64) {
+        let times = RunTimes::new();
+        for &run in &runs {
+            times.record(&quote(), &team("t"), Millis(run));
+        }
+        runs.sort();
+        let at = ((runs.len() as f64 * q).ceil() as usize).max(1) - 1;
+        let told = times.quantile(&quote(), &team("t"), q, None).0 as f64;
+        let real = runs[at] as f64;
+        prop_assert!(told >= real / 1.2 - 1.0 && told <= real * 1.2 + 1.0);
+    }
+}
--- /dev/null
+++ b/components/limits/tests/queue.rs
@@ -0,0 +1,165 @@
+//! The queue is fair between teams and loses nothing.
+
+use std::collections::BTreeSet;
+
+use kernel::{JobKey, Team, Timestamp};
+use limits::{JobOrder, Queue, Refusal, Waiting};
+use proptest::prelude::*;
+
+fn team(i: usize) -> Team {
+    format!("team-{i}").parse().unwrap()
+}
+
+fn key(i: usize) -> JobKey {
+    format!("job-{i}").parse().unwrap()
+}
+
+fn entry<T>(at: usize, job: usize, arrival: u64, left: usize, item: T) -> Waiting<T> {
+    let job = JobOrder {
+        key: key(job),
+        arrival: Timestamp(arrival * 1000),
+        tasks_left: left,
+        deadline: Timestamp(arrival * 1000 + 10_000_000),
+    };
+    Waiting {
+        team: team(at),
+        job,
+        item,
+    }
+}
+
+fn add(queue: &mut Queue<usize>, at: usize, job: usize, arrival: u64, tasks: usize) {
+    for _ in 0..tasks {
+        queue.push(entry(at, job, arrival, tasks, job)).unwrap();
+    }
+}
+
+fn pop(queue: &mut Queue<usize>) -> Option<usize> {
+    queue.pop(Timestamp(0), |_| true)
+}
+
+#[test]
+fn small_passes() {
+    let mut queue = Queue::new(1000);
+    add(&mut queue, 0, 1, 0, 140);
+    add(&mut queue, 0, 2, 100, 1);
+    assert_eq!(pop(&mut queue), Some(2));
+}
+
+#[test]
+fn large_ages() {
+    let mut queue = Queue::new(1000);
+    add(&mut queue, 0, 1, 0, 140);
+    add(&mut queue, 0, 2, 5000, 1);
+    assert_eq!(pop(&mut queue), Some(1));
+}
+
+#[test]
+fn last_task() {
+    let mut queue = Queue::new(1000);
+    add(&mut queue, 0, 1, 0, 3);
+    assert_eq!(pop(&mut queue), Some(1));
+    assert_eq!(pop(&mut queue), Some(1));
+    add(&mut queue, 0, 2, 10, 2);
+    assert_eq!(pop(&mut queue), Some(1));
+}
+
+#[test]
+fn teams_alternate() {
+    let mut queue = Queue::new(1000);
+    add(&mut queue, 0, 1, 0, 100);
+    add(&mut queue, 1, 2, 1000, 10);
+    let first: Vec<_> = (0..20).filter_map(|_| pop(&mut queue)).collect();
+    assert_eq!(first.iter().filter(|j| **j == 2).count(), 10);
+}
+
+#[test]
+fn blocked_team() {
+    let mut queue = Queue::new(1000);
+    add(&mut queue, 0, 1, 0, 200);
+    add(&mut queue, 1, 2, 0, 400);
+    for _ in 0..200 {
+        let got = queue.pop(Timestamp(0), |t| *t == team(1));
+        assert_eq!(got, Some(2));
+    }
+    let next: Vec<_> = (0..60).filter_map(|_| pop(&mut queue)).collect();
+    let other = next.iter().filter(|j| **j == 2).count();
+    assert!(
+        other >= 20,
+        "the team that was held back catches up only so far"
+    );
+}
+
+#[test]
+fn bounded() {
+    let mut queue = Queue::new(2);
+    add(&mut queue, 0, 1, 0, 2);
+    assert_eq!(queue.push(entry(0, 2, 0, 1, 2)), Err(Refusal::Full));
+    assert_eq!(queue.cancel(&key(1)), vec![1, 1]);
+    assert!(queue.push(entry(0, 2, 0, 1, 2)).is_ok());
+}
+
+#[test]
+fn past_deadline() {
+    let mut queue = Queue::new(10);
+    add(&mut queue, 0, 1, 0, 2);
+    add(&mut queue, 0, 2, 5000, 1);
+    let late = Timestamp(12_000_000);
+    assert_eq!(queue.next_expiry(), Some(Timestamp(10_000_000)));
+    assert_eq!(queue.pop(late, |_| true), Some(2));
+    assert_eq!(queue.expire(late), vec![1, 1]);
+    assert!(queue.is_empty());
+    assert_eq!(queue.teams(), 0);
+}
+
+proptest! {
+    /// Whatever is pushed comes out once, by pop, cancel or expiry.
+    #[test]
+    fn nothing_lost(steps in prop::collection::vec((0..5u8, 0..4usize, 0..6usize, 1..20usize), 1..200)) {
+        let mut queue = Queue::new(300);
+        let mut inside = BTreeSet::new();
+        let mut next = 0;
+        for (now, (what, t, j, tasks)) in steps.into_iter().enumerate() {
+            let now = now as u64 * 500;
+            let time = Timestamp(now * 1000);
+            // A job belongs to one team.
+            let job = t * 6 + j;
+            match what {
+                0 | 1 => for _ in 0..tasks {
+                    if queue.push(entry(t, job, now, tasks, next)).is_ok() {
+                        inside.insert(next);
+                    }
+                    next += 1;
+                },
+                2 => if let Some(item) = queue.pop(time, |u| *u != team(0)) {
+                    prop_assert!(inside.remove(&item));
+                },
+                3 => for item in queue.cancel(&key(job)) {
+                    prop_assert!(inside.remove(&item));
+                },
+                _ => for item in queue.expire(time) {
+                    prop_assert!(inside.remove(&item));
+                },
+            }
+            prop_assert_eq!(queue.len(), inside.len());
+        }
+        for item in queue.expire(Timestamp(u64::MAX)) {
+            prop_assert!(inside.remove(&item));
+        }
+        prop_assert!(inside.is_empty() && queue.teams() == 0);
+    }
+
+    /// While a team waits, no other team starts many more tasks than it.
+    #[test]
+    fn no_team_starves(sizes in prop::collection::vec(20..100usize, 2..8)) {
+        let mut queue = Queue::new(10_000);
+        for (t, &size) in sizes.iter().enumerate() {
+            add(&mut queue, t, t, 0, size);
+        }
+        let mut started = vec![0; sizes.len()];
+        for _ in 0..20 * sizes.len() {
+            started[pop(&mut queue).unwrap()] += 1;
+        }
+        prop_assert!(started.iter().all(|&n| n == 20));
+    }
+}
--- /dev/null
+++ b/components/limits/tests/quota.rs
@@ -0,0 +1,167 @@
+//! Quotas hold over all VMs, and unused parts go where they are wanted.
+
+use kernel::{Millis, Slots, Team, Timestamp, VmId};
+use limits::{QuotaGuard, Quotas, Share};
+use proptest::prelude::*;
+
+const VMS: usize = 3;
+
+fn team(i: usize) -> Team {
+    format!("team-{i}").parse().unwrap()
+}
+
+fn vm(i: usize) -> VmId {
+    format!("a/vm-{i}").parse().unwrap()
+}
+
+fn share(rank: usize, live: usize) -> Share {
+    Share {
+        vm: vm(rank),
+        rank,
+        live,
+    }
+}
+
+fn fleet(quota: u32) -> Vec<Quotas> {
+    let make = |rank| {
+        let quotas = Quotas::new(Millis(3000));
+        quotas.update(&[(team(0), Slots(quota))], share(rank, VMS));
+        quotas
+    };
+    (0..VMS).map(make).collect()
+}
+
+fn beat(fleet: &[Quotas], from: usize, now: u64, lost: u8) {
+    let now = Timestamp(now * 1000);
+    let digest = fleet[from].digest(now);
+    for (to, quotas) in fleet.iter().enumerate() {
+        if to != from && lost >> to & 1 == 0 {
+            quotas.absorb(&vm(from), &digest, now);
+        }
+    }
+}
+
+fn held(fleet: &[Quotas]) -> u32 {
+    let held = |q: &Quotas| q.status().iter().map(|s| s.held.0).sum::<u32>();
+    fleet.iter().map(held).sum()
+}
+
+fn fill(quotas: &Quotas) -> Vec<QuotaGuard> {
+    std::iter::from_fn(|| quotas.acquire(&team(0)).ok()).collect()
+}
+
+#[test]
+fn no_quota() {
+    let fleet = fleet(1);
+    let guards: Vec<_> = (0..50).map(|_| fleet[0].acquire(&team(9))).collect();
+    assert!(guards.iter().all(Result::is_ok));
+}
+
+#[test]
+fn parts_add_up() {
+    let fleet = fleet(20);
+    let guards: Vec<_> = fleet.iter().map(fill).collect();
+    assert_eq!(guards.iter().map(Vec::len).sum::<usize>(), 20);
+}
+
+#[test]
+fn follows_demand() {
+    let fleet = fleet(20);
+    let mut guards = fill(&fleet[0]);
+    for round in 0..20 {
+        guards.extend(fill(&fleet[0]));
+        beat(&fleet, round % VMS, round as u64 * 30, 0);
+    }
+    assert_eq!(guards.len(), 20);
+}
+
+#[test]
+fn comes_back() {
+    let fleet = fleet(20);
+    let mut guards = Vec::new();
+    for round in 0..20 {
+        guards.extend(fill(&fleet[0]));
+        beat(&fleet, round % VMS, round as u64 * 30, 0);
+    }
+    let mut others = Vec::new();
+    for round in 20..60 {
+        others.extend(fill(&fleet[1]));
+        guards.pop();
+        beat(&fleet, round % VMS, round as u64 * 30, 0);
+        assert!(held(&fleet) <= 20);
+    }
+    assert!(others.len() >= 6, "the lender has its own part again");
+}
+
+#[test]
+fn tiny_quota() {
+    let fleet = fleet(1);
+    let mut turns = [0; VMS];
+    for round in 0..120 {
+        for (rank, quotas) in fleet.iter().enumerate() {
+            if let Ok(_guard) = quotas.acquire(&team(0)) {
+                turns[rank] += 1;
+            }
+        }
+        beat(&fleet, round % VMS, round as u64 * 30, 0);
+    }
+    assert!(turns.iter().all(|&n| n > 0), "{turns:?}");
+}
+
+#[test]
+fn sheet_keeps_held() {
+    let quotas = Quotas::new(Millis(3000));
+    quotas.update(&[(team(0), Slots(5))], share(0, 1));
+    let guards = fill(&quotas);
+    quotas.update(&[], share(0, 1));
+    assert!(quotas.acquire(&team(0)).is_ok());
+    quotas.update(&[(team(0), Slots(5))], share(0, 1));
+    assert!(quotas.acquire(&team(0)).is_err());
+    drop(guards);
+    assert_eq!(fill(&quotas).len(), 5);
+    assert_eq!(quotas.broken(), 0);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// With the same live VMs in all views, the quota is never exceeded,
+    /// whichever digests are lost.
+    #[test]
+    fn never_exceeded(
+        quota in 0..30u32,
+        steps in prop::collection::vec((0..VMS, 0..6u8, any::<usize>(), 0..8u8), 1..300),
+    ) {
+        let fleet = fleet(quota);
+        let mut guards: Vec<Vec<QuotaGuard>> = (0..VMS).map(|_| Vec::new()).collect();
+        for (now, (at, what, i, lost)) in steps.into_iter().enumerate() {
+            match what {
+                0 | 1 => guards[at].extend(fleet[at].acquire(&team(0)).ok()),
+                2 | 3 if !guards[at].is_empty() => {
+                    let i = i % guards[at].len();
+                    guards[at].swap_remove(i);
+                }
+                4 => beat(&fleet, at, now as u64 * 5, lost),
+                _ => beat(&fleet, at, now as u64 * 5, 0),
+            }
+            prop_assert!(held(&fleet) <= quota);
+        }
+        guards.clear();
+        prop_assert_eq!(held(&fleet), 0);
+        prop_assert!(fleet.iter().all(|q| q.broken() == 0));
+    }
+
+    /// A VM that joins may let the quota be exceeded by its own part, no more.
+    #[test]
+    fn join_bound(quota in 0..40u32) {
+        let mut fleet = fleet(quota);
+        let _guards: Vec<_> = fleet.iter().map(fill).collect();
+        let joiner = Quotas::new(Millis(3000));
+        joiner.update(&[(team(0), Slots(quota))], share(VMS, VMS + 1));
+        let extra = fill(&joiner);
+        fleet.push(joiner);
+        let part = quota.div_ceil(VMS as u32 + 1);
+        prop_assert!(extra.len() as u32 <= part);
+        prop_assert!(held(&fleet) <= quota + part);
+    }
+}
--- a/components/routing/src/bits.rs
+++ b/components/routing/src/bits.rs
@@ -81,6 +81,23 @@
         None
     }
 
+    /// Walks the positions that are also in `bits`, from a word picked by
+    /// `from` on. Each word is read once, so that changes meanwhile skip none.
+    pub(crate) fn walk<'a>(
+        &'a self,
+        bits: &'a AtomicBits,
+        from: u32,
+    ) -> impl Iterator<Item = usize> + 'a {
+        let len = self.words.len();
+        let first = from as usize % len.max(1);
+        let turn = from % WORD as u32;
+        let order = (first..len).chain(0..first);
+        order.flat_map(move |i| {
+            let both = self.words[i] & bits.words[i].load(Ordering::SeqCst);
+            ones(both.rotate_right(turn)).map(move |b| i * WORD + (b + turn as usize) % WORD)
+        })
+    }
+
     /// Tells whether the set has no position.
     pub(crate) fn is_empty(&self) -> bool {
         self.words.iter().all(|&w| w == 0)
@@ -88,14 +105,20 @@
 
     /// Walks all positions of the set.
     pub(crate) fn iter(&self) -> impl Iterator<Item = usize> + '_ {
-        self.words.iter().enumerate().flat_map(|(i, &word)| {
-            (0..WORD)
-                .filter(move |b| word >> b & 1 == 1)
-                .map(move |b| i * WORD + b)
-        })
+        let words = self.words.iter().enumerate();
+        words.flat_map(|(i, &word)| ones(word).map(move |b| i * WORD + b))
     }
 }
 
+/// Walks the ones of a word.
+fn ones(mut word: u64) -> impl Iterator<Item = usize> {
+    std::iter::from_fn(move || {
+        let at = word.trailing_zeros() as usize;
+        word &= word.wrapping_sub(1);
+        (at < WORD).then_some(at)
+    })
+}
+
 /// Returns the position of the `nth` one in a word that has that many.
 fn nth_one(mut word: u64, nth: u32) -> usize {
     for _ in 0..nth {
--- a/components/routing/src/fleet.rs
+++ b/components/routing/src/fleet.rs
@@ -9,6 +9,7 @@
 use crate::config::RoutingConfig;
 use crate::digest::Digest;
 use crate::health::Mode;
+use crate::held::MAX_HELD;
 use crate::minion::{MinionInfo, MinionStatus, Node};
 use crate::policy::{Load, Policy};
 use crate::shared::Shared;
@@ -205,13 +206,9 @@
     /// place on the best.
     fn scan(&self, table: &Table, mask: &Mask, ask: &Ask) -> Option<Arc<Node>> {
         loop {
-            let open = mask.count(ask.bits(table));
-            let from = self.draw(open.max(1));
+            let from = self.draw(u32::MAX);
             let mut best = None;
-            for nth in (from..open).chain(0..from) {
-                let Some(at) = mask.nth(ask.bits(table), nth) else {
-                    continue;
-                };
+            for at in mask.walk(ask.bits(table), from) {
                 let Some(cost) = self.cost(table, at, ask) else {
                     continue;
                 };
@@ -233,14 +230,14 @@
         if node.info.cores < ask.cores || ask.avoid.contains(&node.info.id) {
             return None;
         }
-        let load = self.load(node);
+        let load = self.load(node, node.state.held.count());
         if self.usable(node, &load, ask) {
             return Some(self.policy.cost(&load));
         }
         // A slot freed between the look and the strike would be lost, so look
         // again.
         ask.bits(table).clear(at);
-        if self.usable(node, &self.load(node), ask) {
+        if self.usable(node, &self.load(node, node.state.held.count()), ask) {
             ask.bits(table).set(at);
         }
         None
@@ -248,16 +245,13 @@
 
     /// Takes a place on a minion, unless others were faster.
     fn take(&self, node: &Node, ask: &Ask) -> bool {
-        let own = &node.state.own;
         loop {
-            let load = self.load(node);
+            let seen = node.state.held.read();
+            let load = self.load(node, seen.count());
             if !self.usable(node, &load, ask) {
                 return false;
             }
-            let swap =
-                own.compare_exchange(load.own, load.own + 1, Ordering::SeqCst, Ordering::SeqCst);
-            if swap.is_ok() {
-                node.state.starts.fetch_add(ask.now.0, Ordering::SeqCst);
+            if node.state.held.add(seen, ask.now) {
                 return true;
             }
         }
@@ -271,19 +265,20 @@
         match node.state.mode() {
             Mode::Normal if ask.safe => self.policy.safe(load),
             Mode::Normal => self.policy.open(load),
-            Mode::Suspect | Mode::Ejected => load.own == 0,
+            // A probe, too, needs a slot on lease, so that it is not refused.
+            Mode::Suspect | Mode::Ejected => load.own == 0 && (!ask.safe || self.policy.safe(load)),
         }
     }
 
     /// Reads the load of a minion.
-    fn load(&self, node: &Node) -> Load {
+    fn load(&self, node: &Node, own: u32) -> Load {
         Load {
-            own: node.state.own.load(Ordering::SeqCst),
+            own,
             peers: node.state.peers.load(Ordering::Relaxed),
             share: self.shared.share(node),
             lease: node.state.lease.load(Ordering::Relaxed),
             reported: node.state.reported.load(Ordering::Relaxed),
-            slots: node.info.slots.0,
+            slots: node.info.slots.0.min(MAX_HELD),
         }
     }
 
--- a/components/routing/src/lease.rs
+++ b/components/routing/src/lease.rs
@@ -162,7 +162,7 @@
         return 0;
     }
     let lease = node.state.lease.load(Ordering::Relaxed);
-    lease.saturating_sub(node.state.own.load(Ordering::Relaxed))
+    lease.saturating_sub(node.state.held.count())
 }
 
 /// Notes in what a VM said last that it was granted leases since.
@@ -180,15 +180,27 @@
 fn gifts(mine: i32, others: &[Spare]) -> Vec<(u8, u32)> {
     let all = mine + others.iter().map(|o| o.spare).sum::<i32>();
     let mean = all.div_euclid(others.len() as i32 + 1);
-    let above = mine - mean;
-    if above <= 0 || mine <= 0 {
+    let surplus = |spare: i32| (spare - mean).min(spare).max(0);
+    let gap = |o: &Spare| (mean - o.spare).max(0);
+    let given: i32 = surplus(mine) + others.iter().map(|o| surplus(o.spare)).sum::<i32>();
+    let gaps: i32 = others.iter().map(gap).sum();
+    if surplus(mine) == 0 || gaps == 0 {
         return Vec::new();
     }
-    let total = above + others.iter().map(|o| (o.spare - mean).max(0)).sum::<i32>();
-    let above = above.min(mine);
-    let part = |o: &Spare| {
-        let gap = (mean - o.spare).max(0);
-        (o.rank, (gap * above / total) as u32)
-    };
-    others.iter().map(part).filter(|(_, n)| *n > 0).collect()
+    let mut left = surplus(mine).min(div_up(gaps * surplus(mine), given));
+    let all = left;
+    let mut gifts = Vec::new();
+    for other in others {
+        let count = div_up(gap(other) * all, gaps).min(left);
+        left -= count;
+        if count > 0 {
+            gifts.push((other.rank, count as u32));
+        }
+    }
+    gifts
+}
+
+/// Divides and rounds up; both numbers are positive.
+fn div_up(a: i32, b: i32) -> i32 {
+    (a + b - 1) / b
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -11,6 +11,7 @@
 mod digest;
 mod fleet;
 mod health;
+mod held;
 mod lease;
 mod minion;
 mod policy;
--- a/components/routing/src/minion.rs
+++ b/components/routing/src/minion.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::health::{Health, Mode};
+use crate::held::Held;
 
 /// What the platform and the sheet say of a minion.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,7 +52,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct State {
     /// Tasks of this VM on the minion.
-    pub(crate) own: AtomicU32,
+    pub(crate) held: Held,
     /// Tasks of other VMs there, as last heard.
     pub(crate) peers: AtomicU32,
     /// Tasks of this VM there as its last digest said.
@@ -64,8 +65,6 @@
     pub(crate) closed: AtomicU64,
     /// The [`Mode`], as its number.
     pub(crate) mode: AtomicU8,
-    /// The sum of the start times of the tasks in flight, in microseconds.
-    pub(crate) starts: AtomicU64,
     /// The minion's position in the newest table.
     pub(crate) index: AtomicUsize,
     /// What answers have shown. It is locked when a task ends, never to pick.
--- a/components/routing/src/shared.rs
+++ b/components/routing/src/shared.rs
@@ -114,6 +114,7 @@
         let live = live.max(1);
         self.live.store(live, Ordering::Relaxed);
         self.rank.store(rank.min(live - 1), Ordering::Relaxed);
+        self.sum_loads(Timestamp(self.refreshed.load(Ordering::Relaxed)));
     }
 
     /// Returns this VM's part of a minion's slots. Over all ranks the parts
@@ -175,7 +176,7 @@
             self.bound_ejections(&table, now);
         }
         for (at, node) in table.nodes.iter().enumerate() {
-            if node.state.own.load(Ordering::Relaxed) < node.info.slots.0 {
+            if node.state.held.count() < node.info.slots.0 {
                 table.open.set(at);
                 table.safe.set(at);
             }
@@ -202,7 +203,7 @@
                 let share = self.share(&table.nodes[at]);
                 state.lease.store(share, Ordering::Relaxed);
             }
-            busy += state.own.load(Ordering::Relaxed);
+            busy += state.held.count();
         }
         self.busy.store(busy, Ordering::Relaxed);
     }
@@ -213,11 +214,10 @@
             let run = offer.demand.run();
             for at in offer.local.iter() {
                 let state = &table.nodes[at].state;
-                let own = u64::from(state.own.load(Ordering::SeqCst));
-                let starts = state.starts.load(Ordering::SeqCst);
-                let age = (now.0 * own).saturating_sub(starts);
-                let factor = if own == 1 { STUCK_ALONE } else { STUCK };
-                if own > 0 && age / own > factor * run && state.mode() == Mode::Normal {
+                let held = state.held.read();
+                let alone = held.count() == 1;
+                let factor = if alone { STUCK_ALONE } else { STUCK };
+                if held.age(now) > factor * run && state.mode() == Mode::Normal {
                     set_mode(&table.nodes[at], Mode::Suspect);
                 }
             }
@@ -376,7 +376,7 @@
         let grants = self.balance(&table, now);
         let home = || table.home.iter().map(|&at| &table.nodes[at]);
         for node in home() {
-            let own = node.state.own.load(Ordering::Relaxed);
+            let own = node.state.held.count();
             node.state.reported.store(own, Ordering::Relaxed);
         }
         let byte = |n: &AtomicU32| n.load(Ordering::Relaxed).min(255) as u8;
@@ -448,7 +448,7 @@
             id: n.info.id.clone(),
             domain: n.info.domain.clone(),
             slots: n.info.slots,
-            own: n.state.own.load(Ordering::Relaxed),
+            own: n.state.held.count(),
             peers: n.state.peers.load(Ordering::Relaxed),
             mode: n.state.mode(),
             leaving: n.info.leaving,
@@ -479,7 +479,7 @@
     if node.info.leaving || node.state.mode() != Mode::Normal {
         return 0;
     }
-    let own = node.state.own.load(Ordering::Relaxed);
+    let own = node.state.held.count();
     let peers = node.state.peers.load(Ordering::Relaxed);
     node.info.slots.0.saturating_sub(own + peers)
 }
--- a/components/routing/src/slot.rs
+++ b/components/routing/src/slot.rs
@@ -93,10 +93,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let state = &self.node.state;
-        state.starts.fetch_sub(self.start.0, Ordering::SeqCst);
-        let before = state.own.fetch_sub(1, Ordering::SeqCst);
-        if before == 0 {
+        if !self.node.state.held.remove(self.start) {
             self.shared.broken.fetch_add(1, Ordering::Relaxed);
         }
         self.shared.reopen(&self.node);
--- a/components/routing/src/table.rs
+++ b/components/routing/src/table.rs
@@ -1,5 +1,6 @@
 //! An immutable snapshot of all minions, indexed for the pick.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -31,11 +32,17 @@
     pub(crate) demand: Arc<Demand>,
 }
 
+/// Minions by id and address.
+type States<'a> = HashMap<(&'a MinionId, SocketAddr), &'a Arc<Node>>;
+
 /// All minions.
 #[derive(Debug)]
 pub(crate) struct Table {
     /// The minions, in the order of ids.
     pub(crate) nodes: Vec<Arc<Node>>,
+    /// Minions that left the table with tasks in flight, so that these count
+    /// when one comes back.
+    pub(crate) gone: Vec<Arc<Node>>,
     /// Those that may have a free place; a hint that the pick checks.
     pub(crate) open: AtomicBits,
     /// Those that may have a place on soft lease; a hint likewise.
@@ -69,6 +76,7 @@
             .filter(|&i| nodes[i].info.domain == *home)
             .collect();
         Table {
+            gone: old.map(|t| t.left_out(&nodes)).unwrap_or_default(),
             open: AtomicBits::full(nodes.len()),
             safe: AtomicBits::full(nodes.len()),
             offers: offers(&nodes, home, near, old),
@@ -78,15 +86,24 @@
         }
     }
 
-    /// Returns the states by id.
-    fn states(&self) -> HashMap<&MinionId, &Arc<Node>> {
-        self.nodes.iter().map(|n| (&n.info.id, n)).collect()
+    /// Returns the states by id and address.
+    fn states(&self) -> States<'_> {
+        let all = self.gone.iter().chain(&self.nodes);
+        all.map(|n| ((&n.info.id, n.info.addr), n)).collect()
+    }
+
+    /// Lists the minions that are not in `nodes` but still hold slots.
+    fn left_out(&self, nodes: &[Arc<Node>]) -> Vec<Arc<Node>> {
+        let stays = |n: &Arc<Node>| nodes.iter().any(|m| Arc::ptr_eq(&m.state, &n.state));
+        let all = self.gone.iter().chain(&self.nodes);
+        let held = all.filter(|n| n.state.held.count() > 0);
+        held.filter(|n| !stays(n)).cloned().collect()
     }
 }
 
 /// Makes a minion, with its state from before where id and address stay.
-fn node(index: usize, info: MinionInfo, kept: &HashMap<&MinionId, &Arc<Node>>) -> Node {
-    let same = kept.get(&info.id).filter(|n| n.info.addr == info.addr);
+fn node(index: usize, info: MinionInfo, kept: &States) -> Node {
+    let same = kept.get(&(&info.id, info.addr));
     let state = same.map_or_else(|| Arc::new(State::default()), |n| n.state.clone());
     state.index.store(index, Ordering::SeqCst);
     Node {
--- /dev/null
+++ b/components/routing/tests/leases.rs
@@ -0,0 +1,133 @@
+//! VMs hand leases to each other, and make up for those that get lost.
+
+mod common;
+
+use common::*;
+use proptest::prelude::*;
+use routing::{Balanced, Digest, Fleet, RoutingConfig};
+
+const VMS: usize = 3;
+const MINIONS: usize = 5;
+
+fn fleets() -> Vec<Fleet<Balanced>> {
+    let make = |rank| {
+        let cfg = RoutingConfig {
+            refusals: 0,
+            seed: rank as u64,
+            ..RoutingConfig::default()
+        };
+        let fleet = Fleet::new(domain("a"), cfg, Balanced);
+        fleet.update(&minions("a", MINIONS));
+        fleet.set_peers(rank, VMS);
+        fleet
+    };
+    (0..VMS).map(make).collect()
+}
+
+/// Lets one VM's digest reach the others, but for those it is lost to.
+fn beat(fleets: &[Fleet<Balanced>], from: usize, now: u64, lost: impl Fn(usize) -> bool) -> Digest {
+    let digest = fleets[from].digest(ms(now));
+    for (to, fleet) in fleets.iter().enumerate() {
+        if to != from && !lost(to) {
+            fleet.absorb(&vm(from), &digest, ms(now));
+        }
+    }
+    digest
+}
+
+/// Counts the tasks on each minion over all VMs.
+fn totals(fleets: &[Fleet<Balanced>]) -> Vec<u32> {
+    let own = |i: usize| fleets.iter().map(|f| f.status()[i].own).sum();
+    (0..MINIONS).map(own).collect()
+}
+
+#[test]
+fn surplus_moves() {
+    let fleets = fleets();
+    for now in 0..10 {
+        beat(&fleets, now as usize % VMS, now * 30, |_| false);
+    }
+    let share = std::iter::from_fn(|| take(&fleets[0], 300).ok()).collect::<Vec<_>>();
+    assert!(share.len() < 20);
+    fleets[0].set_waiting(&service(), 100);
+    let mut slots = share;
+    for now in 10..40 {
+        beat(&fleets, now as usize % VMS, now * 30, |_| false);
+        slots.extend(std::iter::from_fn(|| take(&fleets[0], now * 30).ok()));
+    }
+    assert_eq!(slots.len(), 8 * MINIONS, "one VM may use all that is idle");
+}
+
+#[test]
+fn dead_vm() {
+    let fleets = fleets();
+    for now in 0..9 {
+        beat(&fleets, now as usize % VMS, now * 30, |_| false);
+    }
+    let alive = &fleets[..2];
+    for (rank, fleet) in alive.iter().enumerate() {
+        fleet.set_peers(rank, 2);
+    }
+    for now in 0..60 {
+        beat(alive, now as usize % 2, 3000 + now * 50, |_| false);
+    }
+    let slots: Vec<_> = alive
+        .iter()
+        .flat_map(|f| std::iter::from_fn(|| take(f, 6000).ok()).collect::<Vec<_>>())
+        .collect();
+    assert_eq!(slots.len(), 8 * MINIONS);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// With no digest lost, leased slots never overlap.
+    #[test]
+    fn no_overlap(steps in prop::collection::vec((0..VMS, 0..4u8, any::<usize>()), 1..300)) {
+        let fleets = fleets();
+        for from in 0..VMS {
+            beat(&fleets, from, 0, |_| false);
+        }
+        let mut held: Vec<Vec<_>> = (0..VMS).map(|_| Vec::new()).collect();
+        for (now, (at, what, i)) in steps.into_iter().enumerate() {
+            let now = now as u64 * 5;
+            match what {
+                0 | 1 => held[at].extend(take(&fleets[at], now).ok()),
+                2 if !held[at].is_empty() => {
+                    let i = i % held[at].len();
+                    good(held[at].swap_remove(i), now);
+                }
+                _ => drop(beat(&fleets, at, now, |_| false)),
+            }
+            prop_assert!(totals(&fleets).iter().all(|&n| n <= 8));
+        }
+    }
+
+    /// Leases that lost digests made overlap or vanish come right again.
+    #[test]
+    fn lost_digests(lost in prop::collection::vec((0..VMS, 0..8u8, 0..60usize), 1..60)) {
+        let fleets = fleets();
+        let mut now = 0;
+        for (from, mask, waiting) in lost {
+            now += 40;
+            fleets[from].set_waiting(&service(), waiting);
+            beat(&fleets, from, now, |to| mask >> to & 1 == 1);
+        }
+        for fleet in &fleets {
+            fleet.set_waiting(&service(), 0);
+        }
+        for _ in 0..40 {
+            for from in 0..VMS {
+                now += 30;
+                beat(&fleets, from, now, |_| false);
+            }
+        }
+        let digests: Vec<_> = (0..VMS).map(|from| beat(&fleets, from, now, |_| false)).collect();
+        for i in 0..MINIONS {
+            let sum: u32 = digests.iter().map(|d| u32::from(d.leases[i])).sum();
+            let moved = digests.iter().flat_map(|d| &d.grants);
+            let moved: u32 = moved.filter(|g| usize::from(g.minion) == i).map(|g| u32::from(g.slots)).sum();
+            prop_assert!(sum <= 8 && sum + moved >= 8, "minion {} has {} leases", i, sum);
+        }
+    }
+}
--- /dev/null
+++ b/components/routing/tests/spill.rs
@@ -0,0 +1,87 @@
+//! Tasks go to other domains only when that pays.
+
+mod common;
+
+use common::*;
+use kernel::Millis;
+use routing::{Balanced, Digest, Finish, Fleet, RoutingConfig, Slot};
+
+/// Two local minions and three in domain `b`, 3 ms away.
+fn spilling() -> Fleet<Balanced> {
+    let cfg = RoutingConfig {
+        trip: Millis(3),
+        ..RoutingConfig::default()
+    };
+    let fleet = Fleet::new(domain("a"), cfg, Balanced);
+    let mut all = minions("a", 2);
+    all.extend(minions("b", 3));
+    fleet.update(&all);
+    fleet
+}
+
+fn fill(fleet: &Fleet<Balanced>) -> Vec<Slot> {
+    (0..16).map(|_| take(fleet, 0).expect("local")).collect()
+}
+
+fn report(free: u32) -> Digest {
+    Digest {
+        domain: Some(domain("b")),
+        free,
+        slots: 24,
+        ..Digest::default()
+    }
+}
+
+#[test]
+fn local_first() {
+    let fleet = spilling();
+    for slot in fill(&fleet) {
+        assert_eq!(slot.minion().domain, domain("a"));
+    }
+}
+
+#[test]
+fn long_wait() {
+    let fleet = spilling();
+    let peer = "b/vm-0".parse().unwrap();
+    fleet.absorb(&peer, &report(24), ms(0));
+    let held = fill(&fleet);
+    fleet.digest(ms(1));
+    fleet.set_waiting(&service(), 1);
+    let slot = take(&fleet, 1).expect("the wait is 12 ms, the trip 3 ms");
+    assert_eq!(slot.minion().domain, domain("b"));
+    drop(held);
+}
+
+#[test]
+fn full_domain() {
+    let fleet = spilling();
+    let peer = "b/vm-0".parse().unwrap();
+    fleet.absorb(&peer, &report(2), ms(0));
+    let _held = fill(&fleet);
+    fleet.set_waiting(&service(), 100);
+    assert!(take(&fleet, 1).is_err());
+}
+
+#[test]
+fn cut_domain() {
+    let fleet = spilling();
+    let _held = fill(&fleet);
+    fleet.set_waiting(&service(), 100);
+    let mut tries = 0;
+    for now in 1..10_000 {
+        if let Ok(slot) = take(&fleet, now) {
+            slot.finish(Finish::NotStarted, ms(now));
+            tries += 1;
+        }
+    }
+    assert!(tries <= 8, "{tries} tries in 10 s");
+}
+
+#[test]
+fn no_local() {
+    let cfg = RoutingConfig::default();
+    let fleet = Fleet::new(domain("a"), cfg, Balanced);
+    fleet.update(&minions("b", 3));
+    assert!(take(&fleet, 0).is_ok());
+}
