routing: urgent digests where tasks wait and a peer has leases to spare

Change: a digest may go out 25 ms after the last one when leases would move. Grants go out in the order of ranks, so that equal runs are equal.

--- a/components/routing/examples/policy.rs
+++ b/components/routing/examples/policy.rs
@@ -110,6 +110,7 @@
     lost: u64,
     late: u64,
     refused: u64,
+    digests: u64,
     answered: Vec<u64>,
 }
 
@@ -236,6 +237,7 @@
                 let now = self.time();
                 self.vms[to].fleet.absorb(&id, &self.digests[digest], now);
                 self.dispatch(to);
+                self.hurry(to);
             }
         }
     }
@@ -317,6 +319,9 @@
             self.vms[vm].ticking = true;
             self.at(TICK, Event::Tick(vm));
         }
+        if waiting > 0 {
+            self.hurry(vm);
+        }
     }
 
     fn send(&mut self, task: usize, slot: Slot) {
@@ -464,14 +469,26 @@
         }
     }
 
+    /// Sends a digest ahead of the heartbeat if the fleet asks for it.
+    fn hurry(&mut self, vm: usize) {
+        if P::OUTLIERS && self.vms[vm].fleet.urgent(self.time()) {
+            self.tell(vm);
+        }
+    }
+
     fn beat(&mut self, vm: usize) {
+        self.tell(vm);
+        self.at(HEARTBEAT, Event::Beat(vm));
+    }
+
+    fn tell(&mut self, vm: usize) {
+        self.totals.digests += 1;
         let now = self.time();
         self.digests.push(self.vms[vm].fleet.digest(now));
         let digest = self.digests.len() - 1;
         for to in (0..self.sc.vms).filter(|&to| to != vm) {
             self.at(2 * HOP, Event::Hear(vm, to, digest));
         }
-        self.at(HEARTBEAT, Event::Beat(vm));
     }
 }
 
@@ -513,7 +530,7 @@
 
 fn row(name: &str, sc: &Scenario, t: &Totals) {
     println!(
-        "| {:3.0}% | {} | {name} | {:.3} | {:.2} | {:.4} | {} | {} | {} | {} |",
+        "| {:3.0}% | {} | {name} | {:.3} | {:.2} | {:.4} | {} | {} | {} | {} | {:.0} |",
         sc.load * 100.0,
         sc.vms,
         quantile(&t.ratios, 0.5),
@@ -523,6 +540,7 @@
         t.late,
         t.refused,
         t.good / (sc.seconds - WARM_UP / SECOND),
+        t.digests as f64 / (sc.seconds + 40) as f64 / sc.vms as f64,
     );
 }
 
@@ -530,9 +548,9 @@
     let jobs = jobs(sc, seed);
     println!("\n{title}\n");
     println!(
-        "| load | VMs | policy | p50 | p99 | wasted/task | lost | late | refused | good tasks/s |"
+        "| load | VMs | policy | p50 | p99 | wasted/task | lost | late | refused | good tasks/s | digests/s a VM |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|");
     row(Random::NAME, sc, &run(|| Random, sc, &jobs));
     row(LeastOwn::NAME, sc, &run(|| LeastOwn, sc, &jobs));
     row(Split::NAME, sc, &run(|| Split, sc, &jobs));
--- a/components/routing/src/fleet.rs
+++ b/components/routing/src/fleet.rs
@@ -111,6 +111,13 @@
         self.shared.digest(now)
     }
 
+    /// Tells whether a digest should go out now and not wait for the next
+    /// heartbeat, because leases would go where tasks wait. Asked whenever
+    /// tasks wait or a digest came in, it is true at most 40 times a second.
+    pub fn urgent(&self, now: Timestamp) -> bool {
+        self.shared.urgent(now)
+    }
+
     /// Takes in another VM's digest.
     pub fn absorb(&self, from: &VmId, digest: &Digest, now: Timestamp) {
         self.shared.absorb(from, digest, now);
--- a/components/routing/src/lease.rs
+++ b/components/routing/src/lease.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use kernel::{HashMap, Timestamp, VmId};
+use kernel::{HashMap, Millis, Timestamp, VmId};
 
 use crate::digest::{Digest, Grant, MAX_LOADS};
 use crate::health::Mode;
@@ -21,6 +21,12 @@
 /// up for.
 const DRIFT_MAX: u32 = 5;
 
+/// The shortest time between a digest and an urgent one.
+const URGENT: Millis = Millis(25);
+
+/// How often leases are looked at for an urgent digest.
+const LOOK: Millis = Millis(2);
+
 /// Another VM's rank and spare leases.
 struct Spare {
     /// The rank.
@@ -38,13 +44,34 @@
         free as i32 - waiting.sum::<u32>() as i32
     }
 
+    /// Tells whether a digest ahead of the next heartbeat would shorten waits:
+    /// tasks wait here while a peer has leases to spare, or the other way
+    /// round. It is at most true once in [`URGENT`].
+    pub(crate) fn urgent(&self, now: Timestamp) -> bool {
+        let told = Timestamp(self.told.load(Ordering::Relaxed));
+        let looked = Timestamp(self.looked.load(Ordering::Relaxed));
+        if now < told.after(URGENT) || now < looked.after(LOOK) {
+            return false;
+        }
+        self.looked.store(now.0, Ordering::Relaxed);
+        let table = self.table.load();
+        let mine = self.spare(&table, now);
+        let peers = self.peers.lock().unwrap_or_else(|e| e.into_inner());
+        let mut spares = peers.values().map(|p| p.digest.spare);
+        if mine < 0 {
+            spares.any(|n| n > 0)
+        } else {
+            mine > 0 && spares.any(|n| n < 0)
+        }
+    }
+
     /// Decides which leases to hand over, so that all VMs have as many spare,
     /// and takes them off.
     pub(crate) fn balance(&self, table: &Table, now: Timestamp) -> Vec<Grant> {
         let mut peers = self.peers.lock().unwrap_or_else(|e| e.into_inner());
         self.repair(table, &peers);
         let mine = self.spare(table, now);
-        let others: Vec<_> = peers
+        let mut others: Vec<_> = peers
             .values()
             .filter(|p| p.digest.members == table.members)
             .map(|p| Spare {
@@ -52,6 +79,8 @@
                 spare: p.digest.spare,
             })
             .collect();
+        // Without this, equal runs would differ.
+        others.sort_by_key(|o| o.rank);
         let mut grants = Vec::new();
         for (rank, count) in gifts(mine, &others) {
             self.hand_over(table, rank, count, now, &mut grants);
--- a/components/routing/src/shared.rs
+++ b/components/routing/src/shared.rs
@@ -65,6 +65,10 @@
     remotes: Mutex<Remotes>,
     /// The ordinary failure rate, as the bits of an `f64`.
     rate: AtomicU64,
+    /// When the last digest was made, in microseconds of [`Timestamp`].
+    pub(crate) told: AtomicU64,
+    /// When [`Shared::urgent`] last looked at the leases, in the same unit.
+    pub(crate) looked: AtomicU64,
     /// When minions were last reopened, in microseconds of [`Timestamp`].
     refreshed: AtomicU64,
     /// Own tasks on the home domain's minions at the last refresh.
@@ -91,6 +95,8 @@
             peers: Mutex::default(),
             remotes: Mutex::default(),
             rate: AtomicU64::new(0f64.to_bits()),
+            told: AtomicU64::new(0),
+            looked: AtomicU64::new(0),
             refreshed: AtomicU64::new(0),
             busy: AtomicU32::new(0),
             broken: AtomicU64::new(0),
@@ -348,6 +354,10 @@
     /// Moves the ordinary failure rate.
     fn count_rate(&self, failed: bool) {
         let rate = f64::from_bits(self.rate.load(Ordering::Relaxed));
+        // Without failures, threads would write the same zero over and over.
+        if !failed && rate < RATE_WEIGHT * RATE_WEIGHT {
+            return;
+        }
         let seen = if failed { 1.0 } else { 0.0 };
         let next = rate + RATE_WEIGHT * (seen - rate);
         self.rate.store(next.to_bits(), Ordering::Relaxed);
@@ -374,6 +384,7 @@
         self.refresh(now);
         let table = self.table.load();
         let grants = self.balance(&table, now);
+        self.told.store(now.0, Ordering::Relaxed);
         let home = || table.home.iter().map(|&at| &table.nodes[at]);
         for node in home() {
             let own = node.state.held.count();
