--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -5,11 +5,14 @@
 //! costs a message or some waiting.
 
 mod bits;
+mod budget;
 mod config;
 mod demand;
 mod digest;
 mod fleet;
 mod health;
+mod held;
+mod lease;
 mod minion;
 mod policy;
 mod remote;
@@ -18,7 +21,7 @@
 mod table;
 
 pub use config::{PolicyKind, RoutingConfig};
-pub use digest::{Digest, Evidence};
+pub use digest::{Digest, Evidence, Grant};
 pub use fleet::Fleet;
 pub use health::Mode;
 pub use minion::{MinionInfo, MinionStatus};
--- a/components/routing/src/shared.rs
+++ b/components/routing/src/shared.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use kernel::{Domain, HashMap, Millis, Timestamp, VmId};
 
+use crate::budget::Budget;
 use crate::config::RoutingConfig;
 use crate::demand::Demand;
 use crate::digest::{Digest, Evidence, MAX_EVIDENCE, MAX_LOADS};
@@ -34,11 +35,11 @@
 
 /// What a peer VM said last.
 #[derive(Debug)]
-struct Peer {
+pub(crate) struct Peer {
     /// When it came.
     at: Timestamp,
-    /// What it said.
-    digest: Digest,
+    /// What it said, with the leases that it was granted since.
+    pub(crate) digest: Digest,
 }
 
 /// The state behind a fleet and its slots.
@@ -55,19 +56,25 @@
     /// Held while the table is built and swapped.
     writer: Mutex<()>,
     /// This VM's rank among the domain's live VMs.
-    rank: AtomicUsize,
+    pub(crate) rank: AtomicUsize,
     /// The number of the domain's live VMs.
-    live: AtomicUsize,
+    pub(crate) live: AtomicUsize,
     /// Peers' digests, by VM.
-    peers: Mutex<HashMap<VmId, Peer>>,
+    pub(crate) peers: Mutex<HashMap<VmId, Peer>>,
     /// What is known of other domains.
     remotes: Mutex<Remotes>,
     /// The ordinary failure rate, as the bits of an `f64`.
     rate: AtomicU64,
+    /// When the last digest was made, in microseconds of [`Timestamp`].
+    pub(crate) told: AtomicU64,
+    /// When [`Shared::urgent`] last looked at the leases, in the same unit.
+    pub(crate) looked: AtomicU64,
     /// When minions were last reopened, in microseconds of [`Timestamp`].
     refreshed: AtomicU64,
     /// Own tasks on the home domain's minions at the last refresh.
     busy: AtomicU32,
+    /// How many refusals may still be risked.
+    pub(crate) budget: Budget,
     /// Slots given back that nobody held.
     pub(crate) broken: AtomicU64,
 }
@@ -77,6 +84,7 @@
     pub(crate) fn new(home: Domain, cfg: RoutingConfig, outliers: bool) -> Shared {
         let table = Table::build(&[], &home, |_| 0, None);
         Shared {
+            budget: Budget::new(cfg.refusals),
             home,
             cfg,
             outliers,
@@ -87,6 +95,8 @@
             peers: Mutex::default(),
             remotes: Mutex::default(),
             rate: AtomicU64::new(0f64.to_bits()),
+            told: AtomicU64::new(0),
+            looked: AtomicU64::new(0),
             refreshed: AtomicU64::new(0),
             busy: AtomicU32::new(0),
             broken: AtomicU64::new(0),
@@ -110,6 +120,7 @@
         let live = live.max(1);
         self.live.store(live, Ordering::Relaxed);
         self.rank.store(rank.min(live - 1), Ordering::Relaxed);
+        self.sum_loads(Timestamp(self.refreshed.load(Ordering::Relaxed)));
     }
 
     /// Returns this VM's part of a minion's slots. Over all ranks the parts
@@ -125,7 +136,7 @@
     }
 
     /// Returns this VM's place in the order of VMs for one minion.
-    fn place(&self, node: &Node) -> u32 {
+    pub(crate) fn place(&self, node: &Node) -> u32 {
         let live = self.live.load(Ordering::Relaxed) as u64;
         let rank = self.rank.load(Ordering::Relaxed) as u64;
         ((rank + node.hash % live) % live) as u32
@@ -143,6 +154,7 @@
         let now = table.nodes.get(at);
         if now.is_some_and(|n| Arc::ptr_eq(&n.state, &node.state)) {
             table.open.set(at);
+            table.safe.set(at);
         }
     }
 
@@ -170,8 +182,9 @@
             self.bound_ejections(&table, now);
         }
         for (at, node) in table.nodes.iter().enumerate() {
-            if node.state.own.load(Ordering::Relaxed) < node.info.slots.0 {
+            if node.state.held.count() < node.info.slots.0 {
                 table.open.set(at);
+                table.safe.set(at);
             }
         }
     }
@@ -191,7 +204,12 @@
             let loads = same.iter().filter_map(|p| p.digest.loads.get(i));
             let sum = loads.map(|&n| u32::from(n)).sum();
             state.peers.store(sum, Ordering::Relaxed);
-            busy += state.own.load(Ordering::Relaxed);
+            // Until peers are heard of, each VM keeps to its fixed part.
+            if peers.is_empty() {
+                let share = self.share(&table.nodes[at]);
+                state.lease.store(share, Ordering::Relaxed);
+            }
+            busy += state.held.count();
         }
         self.busy.store(busy, Ordering::Relaxed);
     }
@@ -202,11 +220,10 @@
             let run = offer.demand.run();
             for at in offer.local.iter() {
                 let state = &table.nodes[at].state;
-                let own = u64::from(state.own.load(Ordering::SeqCst));
-                let starts = state.starts.load(Ordering::SeqCst);
-                let age = (now.0 * own).saturating_sub(starts);
-                let factor = if own == 1 { STUCK_ALONE } else { STUCK };
-                if own > 0 && age / own > factor * run && state.mode() == Mode::Normal {
+                let held = state.held.read();
+                let alone = held.count() == 1;
+                let factor = if alone { STUCK_ALONE } else { STUCK };
+                if held.age(now) > factor * run && state.mode() == Mode::Normal {
                     set_mode(&table.nodes[at], Mode::Suspect);
                 }
             }
@@ -244,6 +261,7 @@
             Finish::Answered { run } => self.answered(node, demand.ran(run), now),
             Finish::TaskFailed | Finish::Lost => self.failed(node, now),
             Finish::NotStarted => {
+                self.budget.spend();
                 let back = lock(&node.state.health).refused();
                 node.state.close(now.after(back));
             }
@@ -336,6 +354,10 @@
     /// Moves the ordinary failure rate.
     fn count_rate(&self, failed: bool) {
         let rate = f64::from_bits(self.rate.load(Ordering::Relaxed));
+        // Without failures, threads would write the same zero over and over.
+        if !failed && rate < RATE_WEIGHT * RATE_WEIGHT {
+            return;
+        }
         let seen = if failed { 1.0 } else { 0.0 };
         let next = rate + RATE_WEIGHT * (seen - rate);
         self.rate.store(next.to_bits(), Ordering::Relaxed);
@@ -357,16 +379,27 @@
         lock(&self.remotes).sent(domain, self.cfg.peer_ttl, now);
     }
 
-    /// Sums up this VM's view.
+    /// Sums up this VM's view and hands over leases.
     pub(crate) fn digest(&self, now: Timestamp) -> Digest {
         self.refresh(now);
         let table = self.table.load();
+        let grants = self.balance(&table, now);
+        self.told.store(now.0, Ordering::Relaxed);
         let home = || table.home.iter().map(|&at| &table.nodes[at]);
-        let own = |n: &Arc<Node>| n.state.own.load(Ordering::Relaxed).min(255) as u8;
+        for node in home() {
+            let own = node.state.held.count();
+            node.state.reported.store(own, Ordering::Relaxed);
+        }
+        let byte = |n: &AtomicU32| n.load(Ordering::Relaxed).min(255) as u8;
+        let listed = || home().take(MAX_LOADS);
         Digest {
             domain: Some(self.home.clone()),
             members: table.members,
-            loads: home().take(MAX_LOADS).map(own).collect(),
+            loads: listed().map(|n| byte(&n.state.reported)).collect(),
+            leases: listed().map(|n| byte(&n.state.lease)).collect(),
+            grants,
+            rank: self.rank.load(Ordering::Relaxed).min(255) as u8,
+            spare: self.spare(&table, now),
             free: home().map(|n| free(n)).sum(),
             slots: home().map(|n| n.info.slots.0).sum(),
             evidence: home()
@@ -389,7 +422,10 @@
             at: now,
             digest: digest.clone(),
         };
-        lock(&self.peers).insert(from.clone(), peer);
+        let mut peers = lock(&self.peers);
+        self.granted(&mut peers, digest);
+        peers.insert(from.clone(), peer);
+        drop(peers);
         if self.outliers {
             self.weigh(&digest.evidence, now);
         }
@@ -423,7 +459,7 @@
             id: n.info.id.clone(),
             domain: n.info.domain.clone(),
             slots: n.info.slots,
-            own: n.state.own.load(Ordering::Relaxed),
+            own: n.state.held.count(),
             peers: n.state.peers.load(Ordering::Relaxed),
             mode: n.state.mode(),
             leaving: n.info.leaving,
@@ -445,7 +481,7 @@
 }
 
 /// Returns when a minion may be picked again.
-fn closed(node: &Node) -> Timestamp {
+pub(crate) fn closed(node: &Node) -> Timestamp {
     Timestamp(node.state.closed.load(Ordering::Relaxed))
 }
 
@@ -454,7 +490,7 @@
     if node.info.leaving || node.state.mode() != Mode::Normal {
         return 0;
     }
-    let own = node.state.own.load(Ordering::Relaxed);
+    let own = node.state.held.count();
     let peers = node.state.peers.load(Ordering::Relaxed);
     node.info.slots.0.saturating_sub(own + peers)
 }
