--- a/components/standins/src/platform.rs
+++ b/components/standins/src/platform.rs
@@ -134,8 +134,9 @@
     faults: watch::Sender<Faults>,
     /// Counts requests that came while the log was down.
     downs: AtomicU64,
-    /// The lists of machines and since when each has been true.
-    lists: Mutex<VecDeque<(Instant, Listing)>>,
+    /// The lists of machines and since when each has been true; without a
+    /// time, it always has been.
+    lists: Mutex<VecDeque<(Option<Instant>, Listing)>>,
 }
 
 /// The most appends that wait for the writer; later ones are refused.
@@ -216,14 +217,14 @@
         let mut lists = lock(&self.state.lists);
         let mut list = lists.back().map(|l| l.1.clone()).unwrap_or_default();
         change(&mut list);
-        lists.push_back((Instant::now(), list));
+        lists.push_back((Some(Instant::now()), list));
     }
 
     /// Changes the list of machines without lag, for the start of a fleet.
     pub fn set(&self, list: Listing) {
         let mut lists = lock(&self.state.lists);
         lists.clear();
-        lists.push_back((Instant::now() - self.state.config.lag, list));
+        lists.push_back((None, list));
     }
 
     /// Returns all records that a stream still keeps.
@@ -364,13 +365,12 @@
     fn list(&self) -> Listing {
         let mut lists = lock(&self.lists);
         let lag = self.config.lag;
-        while lists.get(1).is_some_and(|l| l.0.elapsed() >= lag) {
+        let seen = |l: &(Option<Instant>, _)| l.0.is_none_or(|t| t.elapsed() >= lag);
+        while lists.get(1).is_some_and(seen) {
             lists.pop_front();
         }
-        match lists.front() {
-            Some((since, list)) if since.elapsed() >= lag => list.clone(),
-            _ => Listing::default(),
-        }
+        let newest = lists.front().filter(|l| seen(l));
+        newest.map(|l| l.1.clone()).unwrap_or_default()
     }
 }
 
