--- a/components/replay/src/lib.rs
+++ b/components/replay/src/lib.rs
@@ -2,6 +2,9 @@
 //! loopback, with stand-ins for the platform, minions and callers. The format
 //! is described in docs/REPLAY.md.
 
+mod book;
+mod client;
+mod doors;
 mod error;
 mod parse;
 mod summary;
