--- a/components/replay/src/lib.rs
+++ b/components/replay/src/lib.rs
@@ -6,13 +6,23 @@
 mod client;
 mod doors;
 mod error;
+mod fleet;
+mod generate;
 mod parse;
+mod play;
 mod summary;
+mod tally;
 mod trace;
+mod vm;
+mod watch;
 
 pub use error::{TraceError, TraceErrorKind};
+pub use fleet::Fleet;
+pub use generate::generate;
+pub use play::{Report, play};
 pub use summary::{INVARIANTS, Miss, Ratio, Seen, Summary, misses};
 pub use trace::{
     Action, Answer, Base, Bounds, Cancel, Expect, Expectation, Fault, FleetPlan, HangUp, Keys,
     LogFault, MinionFault, Needs, Publish, Step, Submit, Task, Trace, Verdict, Via, VmFault,
 };
+pub use vm::{EmbeddedVm, LaunchError};
--- a/components/replay/src/summary.rs
+++ b/components/replay/src/summary.rs
@@ -106,6 +106,14 @@
     }
 }
 
+impl std::fmt::Display for Summary {
+    /// Writes the JSON object.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let text = serde_json::to_string(self).map_err(|_| std::fmt::Error)?;
+        f.write_str(&text)
+    }
+}
+
 /// A missed expectation.
 #[derive(Debug, Clone)]
 pub struct Miss {
--- /dev/null
+++ b/components/replay/src/tally.rs
@@ -0,0 +1,140 @@
+//! Counts what the stand-ins have seen.
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use kernel::{HashMap, HashSet, VmId};
+use standins::{Ledger, Start};
+
+use crate::book::{Attempt, End, Submission};
+use crate::summary::{Ratio, Summary};
+use crate::trace::Answer;
+
+/// How long after its notice a leaving minion may still get work.
+const LEAVING_GRACE: Duration = Duration::from_secs(2);
+
+/// The round trip between a caller and a VM, which no answer can beat.
+const ROUND_TRIP: Duration = Duration::from_millis(2);
+
+/// The parts in which ratios are recorded.
+const PARTS: f64 = 1000.0;
+
+/// How long before a planned stop a request must have been sent to be surely
+/// in flight.
+const IN_FLIGHT: Duration = Duration::from_millis(100);
+
+/// Counts everything but expectations and sheets.
+pub fn tally(subs: &[Submission], ledger: &Ledger, stops: &[(VmId, Instant)]) -> Summary {
+    let starts = ledger.starts();
+    let count = |test: &dyn Fn(&Submission) -> bool| subs.iter().filter(|s| test(s)).count() as u64;
+    let answers = job_answers(subs);
+    let with = |answer| answers.values().filter(|a| **a == Some(answer)).count() as u64;
+    let mut summary = Summary {
+        jobs: answers.len() as u64,
+        complete: with(Answer::Complete),
+        failed: with(Answer::Failed),
+        not_run: with(Answer::NotRun),
+        unanswered: count(&Submission::open),
+        task_starts: starts.len() as u64,
+        double_starts: ledger.double_starts(),
+        partial_answers: count(&|s| s.partial),
+        wrong_answers: count(&|s| s.wrong),
+        false_not_run: false_not_run(subs, &starts),
+        late_starts_on_leaving: ledger.late_starts(LEAVING_GRACE),
+        cut_off: count(&|s| cut_off(s, stops)),
+        messages: ledger.messages(),
+        response_ratio: response_ratio(subs),
+        ..Summary::default()
+    };
+    if summary.task_starts > 0 {
+        summary.messages_per_task = summary.messages as f64 / summary.task_starts as f64;
+    }
+    summary
+}
+
+/// Returns the best answer to each job.
+fn job_answers(subs: &[Submission]) -> HashMap<&str, Option<Answer>> {
+    let rank = |a: Option<Answer>| match a {
+        None => 0,
+        Some(Answer::NotRun) => 1,
+        Some(Answer::Failed) => 2,
+        Some(Answer::Complete) => 3,
+    };
+    let mut best: HashMap<&str, Option<Answer>> = HashMap::default();
+    for sub in subs {
+        let answer = sub.answer.map(|a| a.1);
+        let known = best.entry(sub.job.as_str()).or_default();
+        if rank(answer) > rank(*known) {
+            *known = answer;
+        }
+    }
+    best
+}
+
+/// Counts the submissions told "not run" whose job had run by then, or ran
+/// later though nobody submitted it again.
+fn false_not_run(subs: &[Submission], starts: &[Start]) -> u64 {
+    let mut started: HashMap<&str, Vec<Instant>> = HashMap::default();
+    for start in starts {
+        started.entry(&start.job).or_default().push(start.at);
+    }
+    let mut sent: HashMap<&str, Vec<Instant>> = HashMap::default();
+    for sub in subs {
+        let times = sub.attempts.iter().map(|a| a.sent);
+        sent.entry(&sub.key).or_default().extend(times);
+    }
+    let untrue = |key: &str, told: Instant| {
+        let sent = sent.get(key).map_or(&[][..], Vec::as_slice);
+        let explained = |start: Instant| sent.iter().any(|s| told < *s && *s < start);
+        let mut starts = started.get(key).into_iter().flatten();
+        starts.any(|start| !explained(*start))
+    };
+    let told = |a: &Attempt| match &a.end {
+        Some((at, End::Told(Answer::NotRun, _))) => Some(*at),
+        _ => None,
+    };
+    let lied = |s: &&Submission| {
+        let mut times = s.attempts.iter().filter_map(told);
+        times.any(|at| untrue(&s.key, at))
+    };
+    subs.iter().filter(lied).count() as u64
+}
+
+/// Tells whether a planned stop cut a submission off.
+fn cut_off(sub: &Submission, stops: &[(VmId, Instant)]) -> bool {
+    let cut = |a: &Attempt, stop: Instant| match &a.end {
+        Some((at, _)) if *at < stop => false,
+        None => true,
+        Some((_, End::Lost | End::Unknown(_))) => true,
+        Some((_, End::Told(Answer::Failed, reason))) => reason == "stopping",
+        Some((_, End::Told(Answer::NotRun, reason))) => {
+            reason == "stopping" && a.sent + IN_FLIGHT < stop
+        }
+        Some((_, End::Told(Answer::Complete, _) | End::Refused)) => false,
+    };
+    let hit = |(vm, stop): &(VmId, Instant)| {
+        let mut there = sub.attempts.iter().filter(|a| a.vm == *vm);
+        there.any(|a| a.sent < *stop && cut(a, *stop))
+    };
+    !sub.hung_up && stops.iter().any(hit)
+}
+
+/// Compares the response times of first submissions with the ideal.
+fn response_ratio(subs: &[Submission]) -> Ratio {
+    let Ok(mut histogram) = Histogram::<u64>::new(3) else {
+        return Ratio::default();
+    };
+    let mut seen = HashSet::default();
+    for sub in subs {
+        let first = seen.insert(&sub.job);
+        if let (true, Some((at, Answer::Complete))) = (first, sub.answer) {
+            let ideal = sub.ideal + ROUND_TRIP;
+            let ratio = (at - sub.at).as_secs_f64() / ideal.as_secs_f64();
+            histogram.saturating_record((ratio * PARTS) as u64);
+        }
+    }
+    Ratio {
+        p50: histogram.value_at_quantile(0.5) as f64 / PARTS,
+        p99: histogram.value_at_quantile(0.99) as f64 / PARTS,
+    }
+}
--- /dev/null
+++ b/components/replay/src/vm.rs
@@ -0,0 +1,128 @@
+//! An entry VM within this process, on a runtime of its own, so that it can die
+//! as a process does: at once, with all its connections.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use entry::{Config, StartError, Vm};
+use kernel::{Domain, Millis, VmId};
+use limits::LimitsConfig;
+use platform::{Presence, VmRow};
+use routing::RoutingConfig;
+use standins::Net;
+use tokio::runtime::{Builder, Runtime};
+use tokio::task::JoinError;
+
+/// Why an embedded VM could not start.
+#[derive(Debug)]
+pub enum LaunchError {
+    /// The system gives no threads, or the stand-ins no port.
+    Io(io::Error),
+    /// The VM itself could not start.
+    Start(StartError),
+    /// The VM's start panicked.
+    Panic(JoinError),
+    /// The fleet did not become ready in time.
+    NotReady,
+}
+
+impl fmt::Display for LaunchError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LaunchError::Io(e) => write!(f, "{e}"),
+            LaunchError::Start(e) => write!(f, "{e}"),
+            LaunchError::Panic(e) => write!(f, "{e}"),
+            LaunchError::NotReady => write!(f, "the fleet did not become ready in time"),
+        }
+    }
+}
+
+impl std::error::Error for LaunchError {}
+
+impl From<io::Error> for LaunchError {
+    fn from(e: io::Error) -> LaunchError {
+        LaunchError::Io(e)
+    }
+}
+
+/// The threads of each VM.
+const VM_THREADS: usize = 2;
+
+/// A VM and its runtime. Dropping it kills the VM.
+pub struct EmbeddedVm {
+    /// The VM.
+    vm: Arc<Vm>,
+    /// The VM's failure domain.
+    domain: Domain,
+    /// Where the VM's tasks run; taken out when it dies.
+    runtime: Option<Runtime>,
+}
+
+impl EmbeddedVm {
+    /// Starts a VM whose connections the network opens.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound or the system gives no threads.
+    pub async fn start(config: Config, net: Net) -> Result<EmbeddedVm, LaunchError> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(VM_THREADS)
+            .enable_all()
+            .build()?;
+        let domain = config.domain.clone();
+        let (routing, limits) = (RoutingConfig::default(), LimitsConfig::default());
+        let start = runtime.spawn(Vm::start(config, routing, limits, net));
+        // The guard shuts the runtime down if the start fails.
+        let mut guard = Guard(Some(runtime));
+        let vm = start.await.map_err(LaunchError::Panic)?;
+        Ok(EmbeddedVm {
+            vm: Arc::new(vm.map_err(LaunchError::Start)?),
+            domain,
+            runtime: guard.0.take(),
+        })
+    }
+
+    /// Returns the VM's row for the platform's list.
+    pub fn row(&self) -> VmRow {
+        VmRow {
+            id: self.vm.id().clone(),
+            domain: self.domain.clone(),
+            callers: self.vm.callers(),
+            peers: self.vm.peers(),
+            presence: Presence::Live,
+        }
+    }
+
+    /// Stops the VM as planned, then ends its process.
+    pub async fn stop(self, wait: Millis) {
+        self.vm.stop(wait).await;
+    }
+}
+
+impl Drop for EmbeddedVm {
+    fn drop(&mut self) {
+        Guard(self.runtime.take());
+    }
+}
+
+/// A runtime that is shut down without waiting, which also works within
+/// another runtime.
+struct Guard(Option<Runtime>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Makes the configuration of an embedded VM.
+pub fn config(id: VmId, domain: Domain, platform: SocketAddr, seeds: Vec<SocketAddr>) -> Config {
+    Config {
+        seeds,
+        ..Config::new(id, domain, platform)
+    }
+}
