--- a/components/replay/src/fleet.rs
+++ b/components/replay/src/fleet.rs
@@ -207,7 +207,8 @@
         let begin = Instant::now();
         while begin.elapsed() < READY_WAIT {
             let seen = watch.look().await;
-            if seen.len() == self.vms.len() && seen.iter().all(|s| s.ready) {
+            let ready = seen.iter().all(|s| s.ready && s.log == "answers");
+            if ready && seen.len() == self.vms.len() {
                 return Ok(());
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
--- a/components/replay/src/lib.rs
+++ b/components/replay/src/lib.rs
@@ -16,11 +16,13 @@
 mod vm;
 mod watch;
 
+pub use book::{Attempt, Book, End, Submission};
 pub use error::{TraceError, TraceErrorKind};
 pub use fleet::Fleet;
 pub use generate::generate;
 pub use play::{Report, play};
 pub use summary::{INVARIANTS, Miss, Ratio, Seen, Summary, misses};
+pub use tally::tally;
 pub use trace::{
     Action, Answer, Base, Bounds, Cancel, Expect, Expectation, Fault, FleetPlan, HangUp, Keys,
     LogFault, MinionFault, Needs, Publish, Step, Submit, Task, Trace, Verdict, Via, VmFault,
--- a/components/replay/src/play.rs
+++ b/components/replay/src/play.rs
@@ -37,6 +37,8 @@
     pub summary: Summary,
     /// The expectations that were missed.
     pub misses: Vec<Miss>,
+    /// What callers sent and were told.
+    pub submissions: Vec<Submission>,
 }
 
 /// Something on the time line of a replay.
@@ -199,7 +201,11 @@
         let misses = misses(&trace.expects, &summary, told, &verdicts);
         summary.expectations = trace.expects.len() as u64;
         summary.missed = misses.len() as u64;
-        Report { summary, misses }
+        Report {
+            summary,
+            misses,
+            submissions: subs,
+        }
     }
 
     /// Returns the answers to each job that is spoken of. One whose callers
--- a/components/replay/src/watch.rs
+++ b/components/replay/src/watch.rs
@@ -40,6 +40,8 @@
     pub incarnation: CompactString,
     /// Whether it takes jobs.
     pub ready: bool,
+    /// Whether the platform's log answers it.
+    pub log: CompactString,
     /// The offset of the change whose sheet is in force there.
     pub sheet: Option<Offset>,
     /// The last changes that it has judged.
--- /dev/null
+++ b/components/replay/tests/tally.rs
@@ -0,0 +1,154 @@
+//! The counts find what they are for.
+
+use std::time::{Duration, Instant};
+
+use replay::{Answer, Attempt, End, Submission, Summary, tally};
+use standins::{Ledger, Start};
+
+/// A moment of the test, in milliseconds.
+struct Times(Instant);
+
+impl Times {
+    fn at(&self, ms: u64) -> Instant {
+        self.0 + Duration::from_millis(ms)
+    }
+
+    fn attempt(&self, sent: u64, end: Option<(u64, End)>) -> Attempt {
+        Attempt {
+            vm: "a/vm-0".parse().unwrap(),
+            sent: self.at(sent),
+            end: end.map(|(ms, end)| (self.at(ms), end)),
+        }
+    }
+
+    fn submission(&self, attempts: Vec<Attempt>) -> Submission {
+        let told = |a: &Attempt| match a.end {
+            Some((at, End::Told(answer, _))) => Some((at, answer)),
+            _ => None,
+        };
+        Submission {
+            job: "j1".into(),
+            key: "k1".into(),
+            ideal: Duration::from_millis(98),
+            at: attempts[0].sent,
+            answer: attempts.iter().filter_map(told).next_back(),
+            attempts,
+            hung_up: false,
+            partial: false,
+            wrong: false,
+        }
+    }
+
+    fn ledger(&self, starts: &[(&str, u64)]) -> Ledger {
+        let ledger = Ledger::default();
+        for (task, ms) in starts {
+            ledger.start(Start {
+                job: "k1".into(),
+                task: (*task).into(),
+                minion: "a/m-0".parse().unwrap(),
+                incarnation: "".into(),
+                at: self.at(*ms),
+            });
+        }
+        ledger
+    }
+}
+
+fn told(answer: Answer, reason: &str) -> End {
+    End::Told(answer, reason.into())
+}
+
+fn count(subs: &[Submission], ledger: &Ledger) -> Summary {
+    tally(subs, ledger, &[])
+}
+
+#[test]
+fn true_not_run() {
+    let t = Times(Instant::now());
+    let refused = t.attempt(0, Some((10, told(Answer::NotRun, "log_away"))));
+    let later = t.attempt(20, Some((200, told(Answer::Complete, ""))));
+    let subs = [t.submission(vec![refused]), t.submission(vec![later])];
+    let summary = count(&subs, &t.ledger(&[("0", 30)]));
+    assert_eq!(
+        (summary.false_not_run, summary.jobs, summary.complete),
+        (0, 1, 1)
+    );
+    assert!(summary.good());
+}
+
+#[test]
+fn ran_before() {
+    let t = Times(Instant::now());
+    let refused = t.attempt(0, Some((10, told(Answer::NotRun, "log_away"))));
+    let subs = [t.submission(vec![refused])];
+    assert_eq!(count(&subs, &t.ledger(&[("0", 5)])).false_not_run, 1);
+}
+
+#[test]
+fn ran_unasked() {
+    let t = Times(Instant::now());
+    let refused = t.attempt(0, Some((10, told(Answer::NotRun, "log_away"))));
+    let subs = [t.submission(vec![refused])];
+    let summary = count(&subs, &t.ledger(&[("0", 50)]));
+    assert_eq!(summary.broken(), ["false_not_run"]);
+}
+
+#[test]
+fn double_start() {
+    let t = Times(Instant::now());
+    let done = t.attempt(0, Some((100, told(Answer::Complete, ""))));
+    let subs = [t.submission(vec![done])];
+    let summary = count(&subs, &t.ledger(&[("0", 1), ("1", 1), ("0", 9)]));
+    assert_eq!((summary.double_starts, summary.task_starts), (1, 3));
+    assert_eq!(summary.response_ratio.p50, 1.0);
+}
+
+#[test]
+fn no_answer() {
+    let t = Times(Instant::now());
+    let lost = || vec![t.attempt(0, Some((10, End::Lost)))];
+    let mut gone = t.submission(lost());
+    gone.hung_up = true;
+    let summary = count(&[t.submission(lost()), gone], &t.ledger(&[]));
+    assert_eq!(summary.unanswered, 1);
+}
+
+#[test]
+fn stop_cuts() {
+    let t = Times(Instant::now());
+    let ends = [
+        (None, 1),
+        (Some((20, End::Lost)), 0),
+        (Some((700, End::Lost)), 1),
+        (Some((700, End::Unknown("owner_gone".into()))), 1),
+        (Some((700, told(Answer::Failed, "stopping"))), 1),
+        (Some((700, told(Answer::Failed, "task_failed"))), 0),
+        (Some((700, told(Answer::NotRun, "stopping"))), 1),
+        (Some((700, told(Answer::Complete, ""))), 0),
+    ];
+    let stops = [("a/vm-0".parse().unwrap(), t.at(500))];
+    for (end, cut) in ends {
+        let subs = [t.submission(vec![t.attempt(0, end.clone())])];
+        let summary = tally(&subs, &t.ledger(&[]), &stops);
+        assert_eq!(summary.cut_off, cut, "{end:?}");
+    }
+    let after = t.submission(vec![t.attempt(600, Some((700, End::Lost)))]);
+    assert_eq!(tally(&[after], &t.ledger(&[]), &stops).cut_off, 0);
+}
+
+#[test]
+fn totals_named() {
+    let t = Times(Instant::now());
+    let summary = count(&[], &t.ledger(&[]));
+    let json: serde_json::Value = serde_json::from_str(&summary.to_string()).unwrap();
+    let numbers = json
+        .as_object()
+        .unwrap()
+        .iter()
+        .filter(|(_, v)| v.is_number());
+    for (name, value) in numbers {
+        let known = summary.total(name);
+        let meta = ["expectations", "missed"].contains(&name.as_str());
+        assert!(meta || known == value.as_f64(), "{name}");
+    }
+}
--- a/components/standins/src/ledger.rs
+++ b/components/standins/src/ledger.rs
@@ -42,8 +42,8 @@
 }
 
 impl Ledger {
-    /// Records the start of a task.
-    pub(crate) fn start(&self, start: Start) {
+    /// Records the start of a task, as minions do.
+    pub fn start(&self, start: Start) {
         lock(&self.book).starts.push(start);
     }
 
@@ -53,7 +53,7 @@
     }
 
     /// Records that a minion is to get no new work.
-    pub(crate) fn leave(&self, minion: MinionId) {
+    pub fn leave(&self, minion: MinionId) {
         let mut book = lock(&self.book);
         book.leaving.entry(minion).or_insert_with(Instant::now);
     }
