--- a/components/replay/src/play.rs
+++ b/components/replay/src/play.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 use kernel::{HashMap, Millis, VmId};
+use standins::Start;
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -39,6 +40,8 @@
     pub misses: Vec<Miss>,
     /// What callers sent and were told.
     pub submissions: Vec<Submission>,
+    /// The tasks that minions started.
+    pub starts: Vec<Start>,
 }
 
 /// Something on the time line of a replay.
@@ -205,6 +208,7 @@
             summary,
             misses,
             submissions: subs,
+            starts: self.fleet.ledger().starts(),
         }
     }
 
