Entry: notice at once that the log is back

A VM that had just started, or whose log had been away, read claims with a long poll, so that with nothing new in the log it went on answering "log away" to bare keys for up to a second after the log answered again; the traces log-down and sheet-in-force showed it. While the log is away it is read without waiting.

--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::{Clock, MinionId, Offset, Slots, Team};
+use kernel::{Clock, Millis, MinionId, Offset, Slots, Team};
 use limits::Share;
 use membership::{Health, PeerView, View};
 use platform::{Listing, Platform, Presence, Stream};
@@ -131,10 +131,15 @@
 }
 
 async fn read_claims<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
-    let wait = core.cfg.log.read_wait;
     loop {
         let (from, _) = core.claimer.position();
         let was_away = core.claimer.away();
+        // Without new records a long poll would show only at its end that the
+        // log is back, and refuse callers until then.
+        let wait = match was_away {
+            true => Millis(0),
+            false => core.cfg.log.read_wait,
+        };
         match core.platform.read(Stream::Claims, from, wait).await {
             Ok(chunk) => match core.claimer.apply(&chunk) {
                 Applied::Read { .. } if was_away => core.note(Note::new(EventKind::LogBack)),
