--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod hash;
 mod ids;
+mod kind;
 mod registry;
 mod text;
 mod units;
--- a/components/kernel/src/registry.rs
+++ b/components/kernel/src/registry.rs
@@ -22,6 +22,8 @@
     Span(u64, u64),
     /// An IP number and port.
     Address,
+    /// IP numbers and ports with commas between them, at least one.
+    Addresses,
     /// One of these words.
     Word(&'static [&'static str]),
 }
--- /dev/null
+++ b/components/settings/src/log.rs
@@ -0,0 +1,29 @@
+//! The settings of the logs.
+
+use kernel::{Fault, Key, Kind, Parts, Plugin, Section};
+use log::LevelFilter;
+
+/// The configuration of the logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogConfig {
+    /// The least severe level that is written.
+    pub level: LevelFilter,
+}
+
+const KEYS: &[Key] = &[Key {
+    name: "level",
+    kind: Kind::Word(&["off", "error", "warn", "info", "debug", "trace"]),
+    default: Some("info"),
+    help: "The least severe level of the JSON lines on standard output.",
+}];
+
+fn install(section: &Section, parts: &mut Parts) -> Vec<Fault> {
+    parts.put(LogConfig {
+        level: section.get("level").unwrap_or(LevelFilter::Info),
+    });
+    Vec::new()
+}
+
+inventory::submit! {
+    Plugin { name: "log", keys: KEYS, install }
+}
