--- a/components/settings/src/vm.rs
+++ b/components/settings/src/vm.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 
 use compact_str::{CompactString, format_compact};
-use kernel::{Domain, Fault, Key, Kind, Millis, Parts, Plugin, Section, VmId};
+use kernel::{Domain, Fault, Key, Kind, Parts, Plugin, Section, VmId};
 
 /// Who and where the VM is.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,8 +24,6 @@
     pub seeds: Vec<SocketAddr>,
     /// How many threads carry requests.
     pub threads: usize,
-    /// The longest time that a planned stop waits for jobs in flight.
-    pub stop: Millis,
 }
 
 const KEYS: &[Key] = &[
@@ -71,12 +69,6 @@
         default: Some("2"),
         help: "How many threads carry requests.",
     },
-    Key {
-        name: "stop",
-        kind: Kind::Span(0, 600_000),
-        default: Some("30s"),
-        help: "The longest time that a planned stop waits for jobs in flight.",
-    },
 ];
 
 /// Reads the section's texts and gathers what does not fit.
@@ -134,7 +126,6 @@
         platform: reader.get("platform")?,
         seeds: seeds.split(',').flat_map(|s| s.trim().parse()).collect(),
         threads: reader.get("threads")?,
-        stop: reader.get("stop")?,
     })
 }
 
