--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -5,10 +5,12 @@
 mod fault;
 mod load;
 mod log;
+mod sample;
 mod scan;
 mod vm;
 
 pub use fault::{Problem, SettingsFault};
 pub use load::{load, parse};
 pub use log::LogConfig;
+pub use sample::sample;
 pub use vm::VmConfig;
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,61 @@
+//! The command lines of both binaries.
+
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand};
+
+use crate::cmd::completions::CompletionsArgs;
+use crate::cmd::job::JobCommand;
+use crate::cmd::load::LoadArgs;
+use crate::cmd::status::StatusArgs;
+use crate::cmd::timeline::TimelineArgs;
+use crate::fleet::FleetArgs;
+
+/// The exit codes, told at the end of the help.
+const EXIT_CODES: &str = "\
+Exit codes: 0 good, 2 bad settings or arguments, 1 anything else.";
+
+/// Dispatches sub-second tasks: one entry VM.
+#[derive(Debug, Parser)]
+#[command(name = "pomelopost", version, after_help = EXIT_CODES)]
+pub struct Serve {
+    /// The settings file, see docs/pomelopost.ini.
+    #[arg(long, value_name = "FILE", required_unless_present = "sample")]
+    pub settings: Option<PathBuf>,
+    /// Only check the settings and tell every fault.
+    #[arg(long, requires = "settings")]
+    pub check: bool,
+    /// Write a commented sample of all settings.
+    #[arg(long, conflicts_with = "settings")]
+    pub sample: bool,
+}
+
+/// Operates a pomelopost fleet and runs experiments.
+#[derive(Debug, Parser)]
+#[command(name = "pomeloctl", version, after_help = EXIT_CODES)]
+pub struct Ctl {
+    /// Which fleet to speak to.
+    #[command(flatten)]
+    pub fleet: FleetArgs,
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// What the operators' tool can do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Submit, show or cancel a job.
+    #[command(subcommand)]
+    Job(JobCommand),
+    /// Show the fleet as its VMs see it.
+    Status(StatusArgs),
+    /// Tell what happened, merged from the rings of all VMs.
+    Timeline(TimelineArgs),
+    /// Send an open-loop load and measure responses from their intended start.
+    Load(LoadArgs),
+    /// Write completions for a shell.
+    Completions(CompletionsArgs),
+    /// Write the man page.
+    Man,
+}
--- /dev/null
+++ b/src/cmd/job.rs
@@ -0,0 +1,128 @@
+//! `pomeloctl job`: submits, shows and cancels single jobs.
+
+use std::fs;
+use std::io::Read;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use bytes::Bytes;
+use clap::Subcommand;
+use compact_str::CompactString;
+use hyper::Method;
+use hyper::header::HeaderValue;
+use kernel::{JobKey, Millis};
+use wire::Reply;
+
+use crate::cmd::print;
+use crate::error::CommandError;
+use crate::fleet::{Fleet, KEY_HEADER, request};
+use crate::load::fetch;
+use crate::view::Answer;
+
+/// What to do with a job.
+#[derive(Debug, Subcommand)]
+pub enum JobCommand {
+    /// Submit a job and wait for its answer; exits 1 unless it is complete.
+    Submit {
+        /// A file with the submission's JSON, or - for standard input.
+        file: PathBuf,
+        /// The job's key; without one a ticket is fetched.
+        #[arg(long)]
+        key: Option<JobKey>,
+        /// The longest wait for the answer.
+        #[arg(long, default_value = "60s", value_name = "SPAN")]
+        patience: Millis,
+    },
+    /// Show what is known of a job.
+    Show {
+        /// The job's key.
+        key: JobKey,
+    },
+    /// Cancel a job.
+    Cancel {
+        /// The job's key.
+        key: JobKey,
+    },
+}
+
+/// How long a look-up or a cancellation may take.
+const LOOK_WAIT: Duration = Duration::from_secs(10);
+
+/// Runs `pomeloctl job`.
+///
+/// # Errors
+///
+/// Fails when no VM answers, and when a submitted job is not complete.
+pub async fn run(fleet: &Fleet, command: JobCommand) -> Result<(), CommandError> {
+    match command {
+        JobCommand::Submit {
+            file,
+            key,
+            patience,
+        } => submit(fleet, &file, key, patience).await,
+        JobCommand::Show { key } => one(fleet, Method::GET, &key).await,
+        JobCommand::Cancel { key } => one(fleet, Method::DELETE, &key).await,
+    }
+}
+
+async fn submit(
+    fleet: &Fleet,
+    file: &Path,
+    key: Option<JobKey>,
+    patience: Millis,
+) -> Result<(), CommandError> {
+    let body = read(file).map_err(|e| CommandError::File(file.to_path_buf(), e))?;
+    let key = match key {
+        Some(key) => key.into(),
+        None => ticket(fleet).await?,
+    };
+    eprintln!("key {key}");
+    let make = || {
+        let mut req = request(Method::POST, "/v1/jobs", body.clone());
+        if let Ok(key) = HeaderValue::from_str(&key) {
+            req.headers_mut().insert(KEY_HEADER, key);
+        }
+        req
+    };
+    let reply = fleet.send_any(make, patience.duration()).await?;
+    show(&reply)?;
+    let answer: Result<Answer, _> = serde_json::from_slice(&reply.body);
+    match answer.is_ok_and(|a| a.is_complete()) {
+        true => Ok(()),
+        false => Err(CommandError::Bad),
+    }
+}
+
+/// Fetches a ticket from the first VM that gives one.
+async fn ticket(fleet: &Fleet) -> Result<CompactString, CommandError> {
+    for vm in fleet.vms() {
+        if let Ok(mut tickets) = fetch(fleet, *vm, 1).await {
+            return tickets.pop().ok_or(CommandError::Unreachable);
+        }
+    }
+    Err(CommandError::Unreachable)
+}
+
+async fn one(fleet: &Fleet, method: Method, key: &JobKey) -> Result<(), CommandError> {
+    let path = format!("/v1/jobs/{key}");
+    let make = || request(method.clone(), &path, Bytes::new());
+    let reply = fleet.send_any(make, LOOK_WAIT).await?;
+    show(&reply)?;
+    match reply.status.is_success() {
+        true => Ok(()),
+        false => Err(CommandError::Bad),
+    }
+}
+
+fn show(reply: &Reply) -> Result<(), CommandError> {
+    print(&format!("{}\n", String::from_utf8_lossy(&reply.body)))
+}
+
+fn read(file: &Path) -> std::io::Result<Bytes> {
+    if file == Path::new("-") {
+        let mut all = Vec::new();
+        std::io::stdin().read_to_end(&mut all)?;
+        return Ok(Bytes::from(all));
+    }
+    fs::read(file).map(Bytes::from)
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,37 @@
+//! The subcommands of `pomeloctl` and what `pomelopost` does, a file each.
+
+pub mod completions;
+pub mod job;
+pub mod load;
+pub mod man;
+pub mod serve;
+pub mod status;
+pub mod timeline;
+
+use std::io::{self, Write};
+
+use crate::cli::{Command, Ctl};
+use crate::error::CommandError;
+use crate::fleet::Fleet;
+
+/// Runs a subcommand.
+///
+/// # Errors
+///
+/// Tells what failed; [`CommandError::code`] gives the exit code.
+pub async fn run(ctl: Ctl) -> Result<(), CommandError> {
+    match ctl.command {
+        Command::Completions(args) => completions::run(&args),
+        Command::Man => man::run(),
+        Command::Job(command) => job::run(&Fleet::find(&ctl.fleet).await?, command).await,
+        Command::Status(args) => status::run(&Fleet::find(&ctl.fleet).await?, &args).await,
+        Command::Timeline(args) => timeline::run(&Fleet::find(&ctl.fleet).await?, args).await,
+        Command::Load(args) => load::run(&Fleet::find(&ctl.fleet).await?, args).await,
+    }
+}
+
+/// Writes to standard output.
+fn print(text: &str) -> Result<(), CommandError> {
+    let mut out = io::stdout().lock();
+    out.write_all(text.as_bytes()).map_err(CommandError::Io)
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,112 @@
+//! What a command can fail with, and its exit code.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use hyper::StatusCode;
+use settings::SettingsFault;
+use wire::CallError;
+
+/// Why a VM or the platform could not be asked.
+#[derive(Debug)]
+pub enum AskError {
+    /// No answer came.
+    Call(CallError),
+    /// The answer has another status than expected.
+    Status(StatusCode),
+    /// The answer is not the JSON expected.
+    Json(serde_json::Error),
+}
+
+impl fmt::Display for AskError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AskError::Call(e) => write!(f, "{e}"),
+            AskError::Status(status) => write!(f, "answered {status}"),
+            AskError::Json(e) => write!(f, "answered unreadable JSON: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for AskError {}
+
+/// Why a command failed.
+#[derive(Debug)]
+pub enum CommandError {
+    /// The settings have faults.
+    Settings(Vec<SettingsFault>),
+    /// The command line names neither a VM nor the platform.
+    NoFleet,
+    /// The platform could not tell which VMs there are.
+    List(SocketAddr, AskError),
+    /// None of the VMs could be reached.
+    Unreachable,
+    /// A VM could not be asked.
+    Ask(SocketAddr, AskError),
+    /// A file can't be read.
+    File(PathBuf, io::Error),
+    /// Standard output or input failed.
+    Io(io::Error),
+    /// The logs could not be set up.
+    Logs(log::SetLoggerError),
+    /// A part of the configuration is not there, which is a fault of the
+    /// program.
+    Part(&'static str),
+    /// A second signal cut the planned stop short.
+    Cut,
+    /// The command did its work, and the result is not the good one; it has
+    /// been printed.
+    Bad,
+}
+
+impl CommandError {
+    /// Returns the exit code: 2 for bad settings or arguments, else 1.
+    pub fn code(&self) -> ExitCode {
+        match self {
+            CommandError::Settings(_) | CommandError::NoFleet | CommandError::File(..) => {
+                ExitCode::from(2)
+            }
+            _ => ExitCode::FAILURE,
+        }
+    }
+}
+
+impl fmt::Display for CommandError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CommandError::Settings(faults) => {
+                let lines: Vec<_> = faults.iter().map(SettingsFault::to_string).collect();
+                f.write_str(&lines.join("\n"))
+            }
+            CommandError::NoFleet => write!(f, "expected --vm or --platform"),
+            CommandError::List(addr, e) => write!(f, "list of VMs at {addr}: {e}"),
+            CommandError::Unreachable => write!(f, "no VM could be reached"),
+            CommandError::Ask(addr, e) => write!(f, "{addr}: {e}"),
+            CommandError::File(path, e) => write!(f, "{}: {e}", path.display()),
+            CommandError::Io(e) => write!(f, "{e}"),
+            CommandError::Logs(e) => write!(f, "logs: {e}"),
+            CommandError::Part(name) => write!(f, "no configuration of {name} is installed"),
+            CommandError::Cut => write!(f, "stopped at once by a second signal"),
+            CommandError::Bad => Ok(()),
+        }
+    }
+}
+
+impl std::error::Error for CommandError {}
+
+/// Tells an error on standard error and returns its exit code.
+pub fn exit(result: Result<(), CommandError>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            let text = e.to_string();
+            if !text.is_empty() {
+                eprintln!("{text}");
+            }
+            e.code()
+        }
+    }
+}
