No false "not run": a bare key is refused only when nobody can have started it

Causes found by reading and by the new tests: - A VM that could not read the log (cut off, log down, claim not read back in time) told "not run" for a key made up by the caller, though another VM may have won the claim and run the job. It now asks every peer that it knows and compares the VMs that are gone with those known at the last whole read of the log; unless all say no, the job is "unknown". - Admission refused a bare key as "not run" before the claim was read. The claim now comes first; only the owner of a key refuses it. - A stopping VM told "not run" for tickets and keys whose answers it had dropped. Tickets are judged first now. - A claim that turned up while nobody waited was being released; a waiter that enlisted in between was told that it had won, so that two VMs could start the job. Claims::enlist refuses a key that is being given up. - A new VM that met a trimmed log before it knew any peer skipped the claims, and one whose peers reach back only part of the way skipped those as well. - Bad input: an array was taken for a job, missing fields and a deadline of 0 named the wrong field, a long body could lose its 413, an unknown service was told as a passing lack of minions, and nothing was counted.

Header and membership bounds are part of Config now, so that tests can use small ones.

--- a/components/entry/src/api.rs
+++ b/components/entry/src/api.rs
@@ -7,21 +7,24 @@
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
-use jobs::{JobSpec, Outcome, Ran, Reason, TaskSpec};
+use jobs::{JobError, JobSpec, Outcome, Ran, Reason, TaskSpec};
 use kernel::{Cores, JobKey, Millis, Service, TaskId, Team};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
+use serde_path_to_error::Segment;
 
 use crate::config::JobLimits;
 
 /// Where the caller puts the job's key.
 pub const KEY_HEADER: &str = "idempotency-key";
 
-/// A task as a caller writes it.
+/// A task as a caller writes it. Required fields are optional here, so that one
+/// that is missing can be named.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct TaskBody {
-    id: TaskId,
+    #[serde(default)]
+    id: Option<TaskId>,
     #[serde(default)]
     payload: Option<Box<RawValue>>,
     #[serde(default)]
@@ -30,16 +33,20 @@
     cores: Option<u32>,
 }
 
-/// A job as a caller writes it.
+/// A job as a caller writes it, with required fields optional as well.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct JobBody {
-    team: Team,
-    service: Service,
+    #[serde(default)]
+    team: Option<Team>,
+    #[serde(default)]
+    service: Option<Service>,
     #[serde(default)]
     idempotent: bool,
-    deadline_ms: u64,
-    tasks: Vec<TaskBody>,
+    #[serde(default)]
+    deadline_ms: Option<u64>,
+    #[serde(default)]
+    tasks: Option<Vec<TaskBody>>,
 }
 
 /// What is wrong with a request.
@@ -90,36 +97,67 @@
 ///
 /// Names the field at fault and what was expected there.
 pub fn read_job(key: JobKey, body: &[u8], limits: &JobLimits) -> Result<JobSpec, BadRequest> {
+    if body.trim_ascii_start().first() != Some(&b'{') {
+        return Err(BadRequest::new("body", "a JSON object"));
+    }
     let mut reader = serde_json::Deserializer::from_slice(body);
     let job: JobBody = serde_path_to_error::deserialize(&mut reader)
-        .map_err(|e| BadRequest::new(&e.path().to_string(), e.inner()))?;
+        .map_err(|e| BadRequest::new(&field_at(e.path()), e.inner()))?;
     reader.end().map_err(|e| BadRequest::new("body", e))?;
-    if job.deadline_ms > limits.deadline.0 {
-        let most = format_compact!("at most {}", limits.deadline);
-        return Err(BadRequest::new("deadline_ms", most));
-    }
     let spec = JobSpec {
         key,
-        team: job.team,
-        service: job.service,
+        team: given("team", job.team)?,
+        service: given("service", job.service)?,
         idempotent: job.idempotent,
-        deadline: Millis(job.deadline_ms),
-        tasks: job.tasks.into_iter().map(read_task).collect(),
+        deadline: Millis(given("deadline_ms", job.deadline_ms)?),
+        tasks: read_tasks(given("tasks", job.tasks)?)?,
     };
-    spec.check().map_err(|e| BadRequest::new("tasks", e))?;
+    if spec.deadline > limits.deadline {
+        let most = format_compact!("at most {}", limits.deadline);
+        return Err(BadRequest::new("deadline_ms", most));
+    }
+    spec.check().map_err(|e| BadRequest::new(field_of(&e), e))?;
     Ok(spec)
 }
 
-fn read_task(task: TaskBody) -> TaskSpec {
+/// Names the place of a fault; one outside all fields is the body's.
+fn field_at(path: &serde_path_to_error::Path) -> String {
+    match path.iter().next() {
+        None | Some(Segment::Unknown) => "body".to_owned(),
+        Some(_) => path.to_string(),
+    }
+}
+
+fn field_of(error: &JobError) -> &'static str {
+    match error {
+        JobError::Count(_) | JobError::Duplicate(_) => "tasks",
+        JobError::Deadline => "deadline_ms",
+    }
+}
+
+fn given<T>(field: &str, value: Option<T>) -> Result<T, BadRequest> {
+    value.ok_or_else(|| BadRequest::new(field, "a value, as the field is required"))
+}
+
+fn read_tasks(tasks: Vec<TaskBody>) -> Result<Vec<TaskSpec>, BadRequest> {
+    let numbered = tasks.into_iter().enumerate();
+    numbered.map(|(i, task)| read_task(i, task)).collect()
+}
+
+fn read_task(i: usize, task: TaskBody) -> Result<TaskSpec, BadRequest> {
     let payload = task
         .payload
         .map(|p| Bytes::from(String::from(Box::<str>::from(p))));
-    TaskSpec {
-        id: task.id,
+    let id = task.id.ok_or_else(|| {
+        let field = format_compact!("tasks[{i}].id");
+        BadRequest::new(&field, "a value, as the field is required")
+    })?;
+    Ok(TaskSpec {
+        id,
         payload: payload.unwrap_or_else(|| Bytes::from_static(b"null")),
         declared: task.declared_ms.map(Millis),
         cores: Cores(task.cores.unwrap_or(1)),
-    }
+    })
 }
 
 /// One answer in a complete job's answer.
--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -76,7 +76,7 @@
     async fn submit(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         let spec = match self.read_job(req).await {
             Ok(spec) => spec,
-            Err(bad) => return api::write_bad(&bad),
+            Err(bad) => return self.refuse(&bad),
         };
         let key = spec.key.clone();
         let retry = spec.clone();
@@ -100,7 +100,7 @@
     async fn one_job(&self, method: &Method, key: &str) -> Response<Full<Bytes>> {
         let key: JobKey = match key.parse() {
             Ok(key) => key,
-            Err(e) => return api::write_bad(&BadRequest::new("key", e)),
+            Err(e) => return self.refuse(&BadRequest::new("key", e)),
         };
         let found = match *method {
             Method::GET => lookup::find(&self.core, &key).await,
@@ -113,7 +113,7 @@
     fn tickets(&self, query: &str) -> Response<Full<Bytes>> {
         let count = match read_count(query) {
             Ok(count) => count,
-            Err(bad) => return api::write_bad(&bad),
+            Err(bad) => return self.refuse(&bad),
         };
         if !self.core.ready() {
             return api::empty(StatusCode::SERVICE_UNAVAILABLE);
@@ -122,6 +122,12 @@
         api::json(StatusCode::OK, &TicketsBody::new(&tickets))
     }
 
+    /// Counts a malformed request and tells what is wrong with it.
+    fn refuse(&self, bad: &BadRequest) -> Response<Full<Bytes>> {
+        self.core.counts.request_refused();
+        api::write_bad(bad)
+    }
+
     fn ready(&self) -> Response<Full<Bytes>> {
         match self.core.ready() {
             true => api::empty(StatusCode::OK),
@@ -132,7 +138,7 @@
     fn timeline(&self, query: &str) -> Response<Full<Bytes>> {
         match query.parse::<timeline::Filter>() {
             Ok(filter) => api::json(StatusCode::OK, &self.core.recorder.read(&filter)),
-            Err(e) => api::write_bad(&BadRequest::new("query", e)),
+            Err(e) => self.refuse(&BadRequest::new("query", e)),
         }
     }
 }
--- a/components/entry/src/claimer.rs
+++ b/components/entry/src/claimer.rs
@@ -1,12 +1,13 @@
 //! Claims keys that callers made up, many with one append (group commit).
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use jobs::{ClaimError, ClaimRecord, Claims, Coverage, Decided, KeyHash, Owner, Release};
-use kernel::{HashMap, Offset};
+use jobs::{ClaimError, ClaimRecord, Claims, Coverage, Decided, Enlisted, KeyHash, Owner, Release};
+use kernel::{HashMap, Incarnation, Offset};
 use platform::{AppendError, Chunk, Platform, Stream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep_until};
@@ -16,6 +17,9 @@
 /// The most keys in one record, which keeps records below 40 kB.
 const BATCH: usize = 1000;
 
+/// The incarnations gone for good, each with who took over.
+pub type Departed = BTreeMap<Incarnation, Option<Incarnation>>;
+
 /// How a claim ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Claimed {
@@ -70,6 +74,9 @@
     away: AtomicBool,
     /// True once all claims in the log are known here.
     covered: AtomicBool,
+    /// The incarnations known to be gone before the log was last read to its
+    /// end, so that all their claims are known.
+    past: ArcSwapOption<Departed>,
     /// How many VMs share the append rate.
     sharers: AtomicU64,
     /// Appends made so far.
@@ -89,6 +96,7 @@
             wake: Notify::new(),
             away: AtomicBool::new(true),
             covered: AtomicBool::new(false),
+            past: ArcSwapOption::empty(),
             sharers: AtomicU64::new(1),
             appends: AtomicU64::new(0),
         }
@@ -128,10 +136,10 @@
         self.sharers.store(vms.max(1) as u64, Ordering::Relaxed);
     }
 
-    /// Claims a key. While the log is known to be away it answers at once. A
-    /// wait that is dropped gives the key up.
+    /// Claims a key. While the log is known to be away, or was never read to
+    /// its end, it answers at once. A wait that is dropped gives the key up.
     pub async fn claim(&self, key: KeyHash) -> Claimed {
-        if self.away() {
+        if self.away() || !self.covered.load(Ordering::Acquire) {
             return Claimed::Away;
         }
         let (sender, told) = oneshot::channel();
@@ -162,10 +170,10 @@
     /// Puts a key into the next append, unless its owner is known already.
     fn enlist(&self, key: KeyHash, waiter: oneshot::Sender<Claimed>) -> Option<Claimed> {
         let mut claims = lock(&self.claims);
-        match claims.owner(key) {
-            Some(owner) if owner.incarnation == self.me.incarnation => return Some(Claimed::Won),
-            Some(owner) => return Some(Claimed::Lost(owner.clone())),
-            None => claims.wait_for(key),
+        match claims.enlist(key) {
+            Enlisted::Waiting => {}
+            Enlisted::Owned(owner) => return Some(Claimed::Lost(owner)),
+            Enlisted::Leaving => return Some(Claimed::Away),
         }
         lock(&self.waiters).insert(key, waiter);
         lock(&self.batch).claims.push(key);
@@ -257,6 +265,23 @@
         }
     }
 
+    /// Notes who was known to be gone before a read that reached the end of the
+    /// log.
+    pub fn read_after(&self, departed: Arc<Departed>) {
+        self.past.store(Some(departed));
+    }
+
+    /// Tells whether all claims are known of every incarnation that is gone
+    /// and has left its jobs to nobody.
+    pub fn covers(&self, departed: &Departed) -> bool {
+        let past = self.past.load();
+        let Some(past) = past.as_ref() else {
+            return false;
+        };
+        let mut lost = departed.iter().filter(|(_, next)| next.is_none());
+        lost.all(|(incarnation, _)| past.contains_key(incarnation))
+    }
+
     /// Notes that the log could not be read.
     pub fn lose_log(&self) {
         self.away.store(true, Ordering::Release);
@@ -286,7 +311,7 @@
         if !lock(&self.batch).releases.is_empty() {
             self.wake.notify_one();
         }
-        Applied::Read { broken }
+        Applied::Read { broken, whole }
     }
 
     /// Tells whether claims wait to be released.
@@ -305,7 +330,7 @@
     }
 
     /// Takes over what a peer knows. It answers whether that helped.
-    pub fn import(&self, coverage: Coverage) -> bool {
+    pub fn import(&self, coverage: &Coverage) -> bool {
         let mut claims = lock(&self.claims);
         match claims.import(coverage) {
             Some(decided) => {
@@ -366,6 +391,8 @@
     Read {
         /// Records that could not be read.
         broken: usize,
+        /// Whether all that is in the log is known now.
+        whole: bool,
     },
     /// Records between those applied and the chunk are missing.
     Gap,
--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use kernel::{Domain, Fault, Key, Kind, Millis, Parts, Plugin, Section, VmId};
-use wire::PoolLimits;
+use wire::{PoolLimits, ServerLimits};
 
 /// Bounds on jobs and their answers.
 #[derive(Debug, Clone, Copy)]
@@ -84,6 +84,10 @@
     pub log: LogLimits,
     /// Bounds on connections to minions and peers.
     pub pool: PoolLimits,
+    /// Bounds on connections from callers and peers.
+    pub server: ServerLimits,
+    /// How often peers speak, and how long silence is borne.
+    pub members: membership::Config,
     /// The longest that a planned stop waits for jobs in flight.
     pub stop_wait: Millis,
 }
@@ -103,6 +107,8 @@
             jobs: JobLimits::default(),
             log: LogLimits::default(),
             pool: PoolLimits::default(),
+            server: ServerLimits::default(),
+            members: membership::Config::default(),
             stop_wait: Millis(30_000),
         }
     }
--- /dev/null
+++ b/components/entry/src/confirm.rs
@@ -0,0 +1,84 @@
+//! Makes sure of a "not run" before it is told: for a key that a caller made up,
+//! another VM may have won the claim and run the job while this VM could not
+//! read the log (docs/design/at-most-once.md).
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use jobs::{KeyHash, Outcome, Ran};
+use kernel::JobKey;
+use membership::Health;
+use routing::Policy;
+use wire::Connect;
+
+use crate::claimer::Known;
+use crate::core::Core;
+use crate::message::{CLAIMED_PATH, ClaimedReply};
+use crate::pass::ask;
+use crate::run::Run;
+
+/// The longest wait for a peer's word.
+const WAIT: Duration = Duration::from_millis(300);
+
+/// Turns a "not run" into "unknown" unless everybody who could have started the
+/// job says that he did not. The owner of a key knows it by himself.
+pub async fn confirm<C: Connect, P: Policy>(
+    core: &Arc<Core<C, P>>,
+    run: &Run,
+    outcome: Outcome,
+) -> Outcome {
+    let Outcome::Failed {
+        ran: Ran::No,
+        reason,
+    } = outcome
+    else {
+        return outcome;
+    };
+    if run.owned() || run.passed() {
+        return Outcome::not_run(reason);
+    }
+    // Two VMs that refuse the same job at once must not wait for each other.
+    run.refuse();
+    match nobody_started(core, &run.spec.key).await {
+        true => Outcome::not_run(reason),
+        false => Outcome::Unknown(reason),
+    }
+}
+
+/// Tells whether no VM, alive or gone, can have started a key's job.
+async fn nobody_started<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, key: &JobKey) -> bool {
+    let view = core.view.load_full();
+    if !core.claimer.covers(&view.departed) || owned_elsewhere(core, key) {
+        return false;
+    }
+    let peers = view.peers.iter().filter(|p| p.health != Health::Gone);
+    let mut answers: FuturesUnordered<_> = peers
+        .map(|p| ask(&core.peers, p.peers, CLAIMED_PATH, key, WAIT))
+        .collect();
+    while let Some(answer) = answers.next().await {
+        if !matches!(answer, Ok(ClaimedReply::Free)) {
+            return false;
+        }
+    }
+    true
+}
+
+/// Tells a peer whether this VM knows of anybody who may have started a job.
+pub fn claimed_here<C: Connect, P: Policy>(core: &Core<C, P>, key: &JobKey) -> ClaimedReply {
+    let started = match core.table.find(key) {
+        Some(Ok(run)) => !run.refused(),
+        Some(Err(_)) => true,
+        None => false,
+    };
+    match started || owned_elsewhere(core, key) {
+        true => ClaimedReply::Taken,
+        false => ClaimedReply::Free,
+    }
+}
+
+/// Tells whether a key has an owner who is not giving it up.
+fn owned_elsewhere<C: Connect, P: Policy>(core: &Core<C, P>, key: &JobKey) -> bool {
+    matches!(core.claimer.known(KeyHash::of(key)), Known::Owner(_))
+}
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jobs::Coverage;
 use kernel::{Clock, MinionId, Offset, Slots, Team};
 use limits::Share;
 use membership::{Health, PeerView, View};
@@ -135,10 +136,17 @@
     loop {
         let (from, _) = core.claimer.position();
         let was_away = core.claimer.away();
+        let departed = core.view.load().departed.clone();
         match core.platform.read(Stream::Claims, from, wait).await {
             Ok(chunk) => match core.claimer.apply(&chunk) {
-                Applied::Read { .. } if was_away => core.note(Note::new(EventKind::LogBack)),
-                Applied::Read { .. } => {}
+                Applied::Read { whole, .. } => {
+                    if whole {
+                        core.claimer.read_after(departed);
+                    }
+                    if was_away {
+                        core.note(Note::new(EventKind::LogBack));
+                    }
+                }
                 Applied::Gap => fill_claims(&core, chunk.first).await,
             },
             Err(_) => {
@@ -153,18 +161,25 @@
 }
 
 /// Asks peers for claims that the log has dropped. When every VM that is known
-/// of has answered and none reaches back far enough, the log's own bound holds
-/// and reading goes on at its oldest record.
+/// of has answered and none reaches back far enough, the oldest coverage or the
+/// log's own bound holds, and reading goes on from there.
 async fn fill_claims<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, first: Offset) {
+    if core.listing.load().is_none() {
+        // Whom to ask is not known yet.
+        sleep(AWAY_PAUSE).await;
+        return;
+    }
     let mut silent = false;
+    let mut best: Option<Coverage> = None;
     let view = core.view.load_full();
     for peer in view.peers.iter().filter(|p| p.health != Health::Gone) {
         let answer = ask(&core.peers, peer.peers, CLAIMS_PATH, &(), CLAIMS_WAIT).await;
         match answer {
             Ok(ClaimsReply { coverage }) => {
-                if core.claimer.import(coverage) {
+                if core.claimer.import(&coverage) {
                     return;
                 }
+                best = older(best, coverage);
             }
             Err(_) => silent = true,
         }
@@ -173,7 +188,21 @@
         sleep(AWAY_PAUSE).await;
         return;
     }
-    core.claimer.skip_to(first);
+    match best {
+        Some(coverage) if coverage.first < first && coverage.next > first => {
+            core.claimer.skip_to(coverage.first);
+            core.claimer.import(&coverage);
+        }
+        _ => core.claimer.skip_to(first),
+    }
+}
+
+/// Returns the coverage that reaches back further.
+fn older(best: Option<Coverage>, other: Coverage) -> Option<Coverage> {
+    match best {
+        Some(best) if best.first <= other.first => Some(best),
+        _ => Some(other),
+    }
 }
 
 async fn expire_claims<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use jobs::{JobSpec, JobTable, Owner, Windows};
-use kernel::{Clock, Incarnation, Millis, SystemClock, Timestamp, VmId};
+use jobs::{JobSpec, JobTable, Owner, Reason, Windows};
+use kernel::{Clock, Incarnation, Millis, Service, SystemClock, Timestamp, VmId};
 use membership::{Membership, View};
 use platform::{HttpPlatform, Listing};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -129,6 +129,27 @@
         self.publish_view();
     }
 
+    /// Decides whether a job may be taken on.
+    ///
+    /// # Errors
+    ///
+    /// Tells why not; nothing of the job has run.
+    pub fn admit(&self, spec: &JobSpec) -> Result<(), Reason> {
+        match self.dispatch.admit(spec) {
+            Err(Reason::NoMinion) if self.unheard_of(&spec.service) => Err(Reason::UnknownService),
+            other => other,
+        }
+    }
+
+    /// Tells whether no machine that is listed offers a service.
+    fn unheard_of(&self, service: &Service) -> bool {
+        let listing = self.listing.load();
+        let Some(listing) = listing.as_ref() else {
+            return false;
+        };
+        !listing.minions.iter().any(|m| m.services.contains(service))
+    }
+
     /// Returns when a refused caller should come back.
     pub fn retry_after(&self, spec: &JobSpec) -> Millis {
         self.dispatch.retry_after(spec).unwrap_or(RETRY_AFTER)
--- a/components/entry/src/count.rs
+++ b/components/entry/src/count.rs
@@ -27,6 +27,8 @@
     beats: AtomicU64,
     /// Messages refused because they could not be read.
     broken: AtomicU64,
+    /// Callers' requests refused as malformed.
+    bad_requests: AtomicU64,
 }
 
 /// The counters at one moment.
@@ -50,6 +52,8 @@
     pub beats: u64,
     /// Messages refused because they could not be read.
     pub broken: u64,
+    /// Callers' requests refused as malformed.
+    pub bad_requests: u64,
 }
 
 impl Counts {
@@ -89,6 +93,11 @@
         add(&self.broken);
     }
 
+    /// Counts a caller's request that was refused as malformed.
+    pub fn request_refused(&self) {
+        add(&self.bad_requests);
+    }
+
     /// Reads all counters.
     pub fn read(&self) -> Counted {
         let get = |c: &AtomicU64| c.load(Ordering::Relaxed);
@@ -102,6 +111,7 @@
             passed: get(&self.passed),
             beats: get(&self.beats),
             broken: get(&self.broken),
+            bad_requests: get(&self.bad_requests),
         }
     }
 }
--- a/components/entry/src/drive.rs
+++ b/components/entry/src/drive.rs
@@ -11,7 +11,8 @@
 use wire::Connect;
 
 use crate::claimer::Claimed;
-use crate::core::Core;
+use crate::confirm::confirm;
+use crate::core::{Core, Stage};
 use crate::pass::pass_to;
 use crate::run::Run;
 use crate::task::run_task;
@@ -27,6 +28,7 @@
         () = tokio::time::sleep_until(run.until) => failed(&run, Reason::Deadline),
         reason = run.cut_reason() => failed(&run, reason),
     };
+    let outcome = confirm(&core, &run, outcome).await;
     std::mem::forget(guard);
     if !matches!(outcome, Outcome::Complete(_)) {
         core.dispatch.cancel(&run.spec.service, &run.spec.key);
@@ -58,10 +60,10 @@
 
 /// Admits the job, makes sure that this VM alone may start it, and runs it.
 async fn attempt<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, run: &Arc<Run>) -> Outcome {
-    if let Err(reason) = core.dispatch.admit(&run.spec) {
-        return Outcome::not_run(reason);
-    }
     if !run.owned() {
+        if core.stage() != Stage::Serving {
+            return Outcome::not_run(Reason::Stopping);
+        }
         match core.claimer.claim(KeyHash::of(&run.spec.key)).await {
             Claimed::Won => run.own(),
             Claimed::Away => return Outcome::not_run(Reason::LogAway),
@@ -73,6 +75,10 @@
             }
         }
     }
+    // Only the owner of a key knows that a job it refuses did not run elsewhere.
+    if let Err(reason) = core.admit(&run.spec) {
+        return Outcome::not_run(reason);
+    }
     core.note(Note::new(EventKind::JobAdmitted).job(&run.spec.key));
     run_tasks(core, run).await
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod claimer;
 mod config;
+mod confirm;
 mod control;
 mod core;
 mod count;
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -22,6 +22,8 @@
 pub const STATE_PATH: &str = "/peer/v1/state";
 /// Asks for the claims known.
 pub const CLAIMS_PATH: &str = "/peer/v1/claims";
+/// Asks whether a key's job may have been started.
+pub const CLAIMED_PATH: &str = "/peer/v1/claimed";
 /// Hands windows and kept answers to a successor.
 pub const HANDOVER_PATH: &str = "/peer/v1/handover";
 
@@ -54,6 +56,15 @@
     NotMine,
 }
 
+/// Whether a VM knows of anybody who may have started a key's job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimedReply {
+    /// It does not, and has not started the job itself.
+    Free,
+    /// It does, or may start the job yet.
+    Taken,
+}
+
 /// The answer to a request for claims.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ClaimsReply {
--- a/components/entry/src/pass.rs
+++ b/components/entry/src/pass.rs
@@ -12,7 +12,6 @@
 use hyper::{Request, StatusCode};
 use jobs::{JobSpec, Outcome, Owner, Reason};
 use kernel::{Incarnation, Millis};
-use membership::Located;
 use routing::Policy;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -22,6 +21,7 @@
 
 use crate::core::Core;
 use crate::message::{AWAIT_PATH, Ask, PASS_PATH, POLL_WAIT, Pass, PassReply};
+use crate::submit::{Place, locate};
 
 /// How long a peer may take over the wait that it was asked for.
 const GRACE: Duration = Duration::from_millis(500);
@@ -90,14 +90,11 @@
     owner: &Owner,
     spec: &Arc<JobSpec>,
 ) -> Arc<Outcome> {
-    match core.view.load().locate(owner.incarnation) {
-        Located::Peer(addr) | Located::Away(addr) => {
-            pass(core, owner.incarnation, addr, spec).await
-        }
-        Located::Gone { successor: None } => Arc::new(Outcome::may_have_run(Reason::OwnerGone)),
-        Located::Gone { .. } | Located::Here | Located::NeverSeen => {
-            Arc::new(Outcome::Unknown(Reason::OwnerAway))
-        }
+    match locate(core, owner.incarnation) {
+        Place::Peer(target, addr) => pass(core, target, addr, spec).await,
+        Place::Nowhere(outcome) => Arc::new(outcome),
+        // The job ended here, and its answer has been dropped.
+        Place::Here => Arc::new(Outcome::Unknown(Reason::Forgotten)),
     }
 }
 
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use jobs::{Outcome, Reason};
-use kernel::Clock;
+use kernel::{Clock, JobKey};
 use routing::Policy;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -19,11 +19,13 @@
 
 use crate::api::empty;
 use crate::beat::{Beat, answer_beat};
+use crate::confirm::claimed_here;
 use crate::core::{Core, Stage};
 use crate::lookup::{Found, cancel_here, find_here};
 use crate::message::{
-    AWAIT_PATH, Ask, BEAT_PATH, CANCEL_PATH, CLAIMS_PATH, ClaimsReply, FIND_PATH, HANDOVER_PATH,
-    HandOver, HandOverReply, PASS_PATH, POLL_WAIT, Pass, PassReply, PeerState, STATE_PATH,
+    AWAIT_PATH, Ask, BEAT_PATH, CANCEL_PATH, CLAIMED_PATH, CLAIMS_PATH, ClaimsReply, FIND_PATH,
+    HANDOVER_PATH, HandOver, HandOverReply, PASS_PATH, POLL_WAIT, Pass, PassReply, PeerState,
+    STATE_PATH,
 };
 use crate::run::Run;
 use crate::submit::{Bar, enter};
@@ -68,6 +70,7 @@
                 sheet: self.core.sheets.snapshot(),
                 listing: self.core.listing.load_full(),
             }),
+            CLAIMED_PATH => self.claimed(&body),
             CLAIMS_PATH => write(&ClaimsReply {
                 coverage: self.core.claimer.export(),
             }),
@@ -111,13 +114,22 @@
 
     fn find(&self, body: &[u8]) -> Response<Full<Bytes>> {
         match self.read::<Ask>(body) {
+            Ok(ask) if !self.core.windows.holds(ask.target) => write(&PassReply::NotMine),
             Ok(ask) => write(&reply_of(find_here(&self.core, &ask.key))),
             Err(res) => *res,
         }
     }
 
+    fn claimed(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        match self.read::<JobKey>(body) {
+            Ok(key) => write(&claimed_here(&self.core, &key)),
+            Err(res) => *res,
+        }
+    }
+
     async fn cancel(&self, body: &[u8]) -> Response<Full<Bytes>> {
         match self.read::<Ask>(body) {
+            Ok(ask) if !self.core.windows.holds(ask.target) => write(&PassReply::NotMine),
             Ok(ask) => write(&reply_of(cancel_here(&self.core, &ask.key).await)),
             Err(res) => *res,
         }
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -25,6 +25,8 @@
     exposed: AtomicUsize,
     /// True once this VM alone may start the job.
     owned: AtomicBool,
+    /// True once it is certain that this VM will not start the job.
+    refused: AtomicBool,
 }
 
 impl Run {
@@ -38,6 +40,7 @@
             cut: watch::Sender::new(None),
             exposed: AtomicUsize::new(0),
             owned: AtomicBool::new(owned),
+            refused: AtomicBool::new(false),
         }
     }
 
@@ -102,6 +105,21 @@
         }
     }
 
+    /// Tells whether the job was passed to its owner, whose word holds then.
+    pub fn passed(&self) -> bool {
+        !self.owned() && self.ran() == Ran::Maybe
+    }
+
+    /// Notes that this VM will not start the job.
+    pub fn refuse(&self) {
+        self.refused.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether this VM has not started the job and never will.
+    pub fn refused(&self) -> bool {
+        self.refused.load(Ordering::SeqCst)
+    }
+
     /// Notes that this VM alone may start the job.
     pub fn own(&self) {
         self.owned.store(true, Ordering::SeqCst);
--- a/components/entry/src/submit.rs
+++ b/components/entry/src/submit.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use jobs::{Entered, JobSpec, Judged, KeyHash, Outcome, Reason};
-use kernel::{Incarnation, JobKey};
+use kernel::{Incarnation, JobKey, Ticket};
 use membership::Located;
 use routing::Policy;
 use timeline::{EventKind, Note};
@@ -50,7 +50,7 @@
     }
 }
 
-fn locate<C: Connect, P: Policy>(core: &Core<C, P>, owner: Incarnation) -> Place {
+pub fn locate<C: Connect, P: Policy>(core: &Core<C, P>, owner: Incarnation) -> Place {
     if core.windows.holds(owner) {
         return Place::Here;
     }
@@ -88,7 +88,12 @@
     for _ in 0..ROUNDS {
         match place_of(core, &spec.key) {
             Place::Nowhere(outcome) => return Arc::new(outcome),
-            Place::Peer(target, addr) => return pass(core, target, addr, &spec).await,
+            Place::Peer(target, addr) => {
+                let outcome = pass(core, target, addr, &spec).await;
+                if !moved(core, &spec.key, addr, &outcome) {
+                    return outcome;
+                }
+            }
             Place::Here => match enter(core, &spec) {
                 Ok(run) => return run.outcome().await,
                 Err(Bar::Told(outcome)) => return Arc::new(outcome),
@@ -99,6 +104,24 @@
     Arc::new(Outcome::Unknown(Reason::OwnerAway))
 }
 
+/// Tells whether a job's owner could not be reached because it has left the job
+/// to another VM meanwhile.
+fn moved<C: Connect, P: Policy>(
+    core: &Core<C, P>,
+    key: &JobKey,
+    addr: SocketAddr,
+    outcome: &Outcome,
+) -> bool {
+    if *outcome != Outcome::Unknown(Reason::OwnerAway) {
+        return false;
+    }
+    match place_of(core, key) {
+        Place::Here => true,
+        Place::Peer(_, now) => now != addr,
+        Place::Nowhere(_) => false,
+    }
+}
+
 /// Enters a job that this VM answers for: starts it, or joins those who wait
 /// for it already.
 ///
@@ -129,11 +152,10 @@
 /// Decides under the table's lock whether this VM may start a job that it does
 /// not know yet.
 fn permit<C: Connect, P: Policy>(core: &Core<C, P>, spec: &Arc<JobSpec>) -> Result<Run, Bar> {
-    if core.stage() != Stage::Serving {
-        return Err(Bar::Told(Outcome::not_run(Reason::Stopping)));
-    }
+    let serving = core.stage() == Stage::Serving;
     match &spec.key {
-        JobKey::Ticket(ticket) => match core.windows.take(*ticket) {
+        JobKey::Ticket(ticket) => match look(core, *ticket, serving) {
+            Some(Judged::Fresh) if !serving => Err(Bar::Told(Outcome::not_run(Reason::Stopping))),
             Some(Judged::Fresh) => Ok(Run::new(spec.clone(), core.now(), true)),
             Some(Judged::Used | Judged::Past) => {
                 Err(Bar::Told(Outcome::Unknown(Reason::Forgotten)))
@@ -142,16 +164,21 @@
             None => Err(Bar::Elsewhere),
         },
         JobKey::Bare(_) => match core.claimer.known(KeyHash::of(&spec.key)) {
-            Known::Nobody => Ok(Run::new(spec.clone(), core.now(), false)),
+            // While claims may be missing, the run finds out what to tell.
+            Known::Nobody | Known::Uncovered => Ok(Run::new(spec.clone(), core.now(), false)),
             Known::Owner(owner) if core.windows.holds(owner.incarnation) => {
                 Err(Bar::Told(Outcome::Unknown(Reason::Forgotten)))
             }
             Known::Owner(_) => Err(Bar::Elsewhere),
             Known::Leaving => Err(Bar::Told(Outcome::not_run(Reason::LogAway))),
-            Known::Uncovered if core.claimer.away() => {
-                Err(Bar::Told(Outcome::not_run(Reason::LogAway)))
-            }
-            Known::Uncovered => Err(Bar::Told(Outcome::not_run(Reason::NotReady))),
         },
     }
 }
+
+/// Tells what is known of a ticket, and uses it if its job may start here.
+fn look<C: Connect, P: Policy>(core: &Core<C, P>, ticket: Ticket, serving: bool) -> Option<Judged> {
+    match serving {
+        true => core.windows.take(ticket),
+        false => core.windows.judge(ticket),
+    }
+}
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -125,11 +125,13 @@
 }
 
 /// Binds an address that the settings gave under a key.
-async fn bind(key: &'static str, addr: SocketAddr) -> Result<(Server, SocketAddr), StartError> {
+async fn bind(
+    key: &'static str,
+    addr: SocketAddr,
+    limits: ServerLimits,
+) -> Result<(Server, SocketAddr), StartError> {
     let failed = |error| StartError::Bind { key, addr, error };
-    let server = Server::bind(addr, ServerLimits::default())
-        .await
-        .map_err(failed)?;
+    let server = Server::bind(addr, limits).await.map_err(failed)?;
     let bound = server.addr().map_err(failed)?;
     Ok((server, bound))
 }
@@ -141,8 +143,8 @@
     connect: C,
     policy: P,
 ) -> Result<Vm, StartError> {
-    let (callers, callers_addr) = bind("callers", cfg.callers).await?;
-    let (peers, peers_addr) = bind("peers", cfg.peers).await?;
+    let (callers, callers_addr) = bind("callers", cfg.callers, cfg.server).await?;
+    let (peers, peers_addr) = bind("peers", cfg.peers, cfg.server).await?;
     let core = Arc::new(build(
         cfg,
         routing,
@@ -217,7 +219,7 @@
         callers,
         peers,
     };
-    let mut members = Membership::new(clock.now(), member, membership::Config::default(), rng);
+    let mut members = Membership::new(clock.now(), member, cfg.members, rng);
     let view = members.view(clock.now());
     Core {
         view: ArcSwap::new(view),
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -17,14 +17,19 @@
 use routing::RoutingConfig;
 use serde_json::Value;
 use sheet::{Base, Body, Change, ChangeId, Sheet, SheetRecord};
-use standins::{Ledger, MinionConfig, MinionStandin, PlatformConfig, PlatformStandin};
-use wire::{Client, PoolLimits, Reply, TcpConnect};
+use standins::{
+    Endpoint, Hops, Ledger, MinionConfig, MinionStandin, Net, PlatformConfig, PlatformStandin,
+};
+use tokio::runtime::{Builder, Runtime};
+use wire::{CallError, Client, PoolLimits, Reply};
 
 /// The longest wait for anything in a test.
 pub const WAIT: Duration = Duration::from_secs(20);
 
-/// A fleet in one failure domain.
+/// A fleet whose processes reach each other over a network with faults.
 pub struct Fleet {
+    /// The network.
+    pub net: Net,
     /// The platform.
     pub platform: PlatformStandin,
     /// The minions.
@@ -34,17 +39,35 @@
     /// What the minions started.
     pub ledger: Ledger,
     /// Carries the callers' requests.
-    pub client: Client<TcpConnect>,
+    pub client: Client<Net>,
+    /// The runtime of each VM, until it is killed.
+    runtimes: Vec<Option<Runtime>>,
 }
 
-fn domain() -> Domain {
-    "a".parse().unwrap()
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for runtime in self.runtimes.drain(..).flatten() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Names a failure domain.
+pub fn domain(name: &str) -> Domain {
+    name.parse().unwrap()
 }
 
 /// Returns the configuration of the VM with a number.
 pub fn config(n: usize, platform: SocketAddr) -> Config {
-    let id: VmId = format!("a/vm-{n}").parse().unwrap();
-    Config::new(id, domain(), platform)
+    config_in("a", n, platform)
+}
+
+/// Returns the configuration of the VM with a number in a failure domain.
+pub fn config_in(place: &str, n: usize, platform: SocketAddr) -> Config {
+    let id: VmId = format!("{place}/vm-{n}").parse().unwrap();
+    let mut cfg = Config::new(id, domain(place), platform);
+    cfg.members.absent_after = Millis(1000);
+    cfg
 }
 
 impl Fleet {
@@ -59,17 +82,7 @@
         minions: usize,
         change: impl Fn(Config) -> Config,
     ) -> Fleet {
-        let platform = PlatformStandin::start(PlatformConfig {
-            lag: Duration::ZERO,
-            ..PlatformConfig::default()
-        });
-        let mut fleet = Fleet {
-            platform: platform.await.unwrap(),
-            minions: Vec::new(),
-            vms: Vec::new(),
-            ledger: Ledger::default(),
-            client: Client::new(TcpConnect, PoolLimits::default()),
-        };
+        let mut fleet = Fleet::bare().await;
         for n in 0..minions {
             fleet.add_minion(n).await;
         }
@@ -82,38 +95,106 @@
         fleet
     }
 
+    /// Starts a fleet with one VM and one minion in each failure domain.
+    pub async fn start_in(places: &[&str]) -> Fleet {
+        let mut fleet = Fleet::bare().await;
+        for (n, place) in places.iter().enumerate() {
+            fleet.add_minion_in(place, n).await;
+        }
+        for (n, place) in places.iter().enumerate() {
+            let cfg = config_in(place, n, fleet.platform.addr());
+            fleet.add_vm(cfg).await;
+        }
+        fleet.publish(&Sheet::open(), Base::Empty).await;
+        fleet.all_ready().await;
+        fleet
+    }
+
+    async fn bare() -> Fleet {
+        let platform = PlatformStandin::start(PlatformConfig {
+            lag: Duration::ZERO,
+            ..PlatformConfig::default()
+        });
+        let platform = platform.await.unwrap();
+        let net = Net::new(Hops::default());
+        net.register(platform.addr(), Endpoint::platform());
+        Fleet {
+            platform,
+            minions: Vec::new(),
+            vms: Vec::new(),
+            ledger: Ledger::default(),
+            client: Client::new(net.at(Endpoint::client()), PoolLimits::default()),
+            net,
+            runtimes: Vec::new(),
+        }
+    }
+
     /// Starts a minion with 8 slots.
     pub async fn add_minion(&mut self, n: usize) {
+        self.add_minion_in("a", n).await;
+    }
+
+    /// Starts a minion with 8 slots in a failure domain.
+    pub async fn add_minion_in(&mut self, place: &str, n: usize) {
+        let name = format!("{place}/m-{n}");
         let config = MinionConfig {
-            id: format!("a/m-{n}").parse().unwrap(),
-            domain: domain(),
+            id: name.parse().unwrap(),
+            domain: domain(place),
             services: vec![service()],
             slots: Slots(8),
             cores: Cores(30),
         };
         let minion = MinionStandin::start(config, self.ledger.clone());
         let minion = minion.await.unwrap();
+        let at = Endpoint::inside(&domain(place), &name);
+        self.net.register(minion.addr(), at);
         let row = minion.row();
         self.platform.change(|list| list.minions.push(row));
         self.minions.push(minion);
     }
 
-    /// Starts a VM.
+    /// Starts a VM on a runtime of its own.
     pub async fn add_vm(&mut self, cfg: Config) {
-        let domain = cfg.domain.clone();
+        let place = cfg.domain.clone();
+        let at = Endpoint::inside(&place, cfg.id.as_str());
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
         let routing = RoutingConfig::default();
-        let vm = Vm::start(cfg, routing, LimitsConfig::default(), TcpConnect);
-        let vm = vm.await.unwrap();
+        let connect = self.net.at(at.clone());
+        let start = Vm::start(cfg, routing, LimitsConfig::default(), connect);
+        let vm = runtime.spawn(start).await.unwrap().unwrap();
+        self.net.register(vm.callers(), at.clone());
+        self.net.register(vm.peers(), at);
         let row = VmRow {
             id: vm.id().clone(),
-            domain,
+            domain: place,
             callers: vm.callers(),
             peers: vm.peers(),
             presence: Presence::Live,
         };
-        self.platform
-            .change(|list: &mut Listing| list.vms.push(row));
+        self.platform.change(|list: &mut Listing| {
+            list.vms.retain(|old| old.id != row.id);
+            list.vms.push(row);
+        });
         self.vms.push(vm);
+        self.runtimes.push(Some(runtime));
+    }
+
+    /// Ends a VM's process at once, without a word to anybody.
+    pub fn kill(&mut self, vm: usize) {
+        if let Some(runtime) = self.runtimes[vm].take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Takes a VM off the platform's list.
+    pub fn unlist(&self, vm: usize) {
+        let id = self.vms[vm].id().clone();
+        self.platform
+            .change(|list: &mut Listing| list.vms.retain(|row| row.id != id));
     }
 
     /// Publishes a sheet.
@@ -209,10 +290,28 @@
             req = req.header(entry::KEY_HEADER, key);
         }
         let req = req.body(Full::new(Bytes::from(body.to_owned()))).unwrap();
-        self.client
-            .call(self.vms[vm].callers(), req, WAIT)
-            .await
-            .unwrap()
+        self.send(vm, req).await.unwrap()
+    }
+
+    /// Sends a prepared request to a VM's callers' side.
+    pub async fn send(&self, vm: usize, req: Request<Full<Bytes>>) -> Result<Reply, CallError> {
+        self.client.call(self.vms[vm].callers(), req, WAIT).await
+    }
+
+    /// Returns how many tasks of a job have started.
+    pub fn starts_of(&self, key: &str) -> usize {
+        let starts = self.ledger.starts();
+        starts.iter().filter(|s| s.job == key).count()
+    }
+
+    /// Waits until a job has started a number of tasks.
+    pub async fn until_started(&self, key: &str, tasks: usize) {
+        let wait = tokio::time::timeout(WAIT, async {
+            while self.starts_of(key) < tasks {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        });
+        wait.await.expect("the job starts");
     }
 }
 
@@ -234,7 +333,8 @@
     .to_string()
 }
 
-fn read(reply: Reply) -> (u16, Value) {
+/// Reads an answer's status and body.
+pub fn read(reply: Reply) -> (u16, Value) {
     let body = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
     (reply.status.as_u16(), body)
 }
--- a/components/jobs/src/claim.rs
+++ b/components/jobs/src/claim.rs
@@ -152,6 +152,18 @@
     pub claim: Offset,
 }
 
+/// What a VM finds when it wants to claim a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Enlisted {
+    /// Nobody owns it; the VM waits for it from now on.
+    Waiting,
+    /// It is owned already. A VM that finds itself here must not start the job,
+    /// since a claim that it waited for is told to the waiter.
+    Owned(Owner),
+    /// This VM is giving it up, so that it can't be had now.
+    Leaving,
+}
+
 /// The claims as read from the log.
 #[derive(Debug)]
 pub struct Claims {
@@ -220,9 +232,16 @@
         self.leaving.contains(&key)
     }
 
-    /// Notes that this VM waits to own a key.
-    pub fn wait_for(&mut self, key: KeyHash) {
+    /// Notes that this VM waits to own a key, unless the key is owned.
+    pub fn enlist(&mut self, key: KeyHash) -> Enlisted {
+        if self.leaving(key) {
+            return Enlisted::Leaving;
+        }
+        if let Some(owner) = self.owner(key) {
+            return Enlisted::Owned(owner.clone());
+        }
         self.pending.insert(key);
+        Enlisted::Waiting
     }
 
     /// Notes that this VM no longer waits for a key. Should its claim turn up
@@ -286,7 +305,7 @@
 
     /// Takes over what a peer knows, if it reaches back to here and further
     /// ahead. It answers `None` if the peer's coverage doesn't help.
-    pub fn import(&mut self, theirs: Coverage) -> Option<Decided> {
+    pub fn import(&mut self, theirs: &Coverage) -> Option<Decided> {
         if theirs.next <= self.next || theirs.first > self.next {
             return None;
         }
@@ -298,7 +317,7 @@
         self.first = theirs.first;
         self.next = theirs.next;
         let mut decided = Decided::default();
-        for (key, held) in theirs.keys {
+        for &(key, held) in &theirs.keys {
             let claim = Release {
                 key,
                 claim: held.claim,
--- a/components/jobs/src/lib.rs
+++ b/components/jobs/src/lib.rs
@@ -9,7 +9,7 @@
 mod window;
 
 pub use claim::{
-    ClaimError, ClaimRecord, Claims, Coverage, Decided, Held, KeyHash, Owner, Release,
+    ClaimError, ClaimRecord, Claims, Coverage, Decided, Enlisted, Held, KeyHash, Owner, Release,
 };
 pub use job::{JobError, JobSpec, MAX_TASKS, TaskSpec};
 pub use outcome::{Outcome, Ran, Reason, TaskAnswer};
--- a/components/jobs/src/window.rs
+++ b/components/jobs/src/window.rs
@@ -166,6 +166,14 @@
         Some(judged)
     }
 
+    /// Tells what is known of a ticket; `None` for one that this VM doesn't
+    /// answer for.
+    pub fn judge(&self, ticket: Ticket) -> Option<Judged> {
+        let all = self.lock();
+        let window = all.get(&ticket.owner)?;
+        Some(window.judge(ticket.serial))
+    }
+
     /// Makes a ticket fresh again whose job was refused before it was accepted.
     pub fn give_back(&self, ticket: Ticket) {
         if let Some(window) = self.lock().get_mut(&ticket.owner) {
--- a/components/jobs/tests/claims.rs
+++ b/components/jobs/tests/claims.rs
@@ -1,6 +1,6 @@
 //! The log's order decides who owns a key, alike for every reader.
 
-use jobs::{ClaimRecord, Claims, Decided, KeyHash, Owner, Release};
+use jobs::{ClaimRecord, Claims, Decided, Enlisted, KeyHash, Owner, Release};
 use kernel::{Incarnation, Offset};
 use proptest::prelude::*;
 
@@ -42,7 +42,7 @@
 #[test]
 fn first_wins() {
     let mut claims = Claims::new(owner(1), 100);
-    claims.wait_for(KeyHash(7));
+    claims.enlist(KeyHash(7));
     let decided = apply(&mut claims, &[claim(2, &[7]), claim(1, &[7])]);
     assert_eq!(decided[0].lost, [(KeyHash(7), owner(2))]);
     assert_eq!(decided[1], Decided::default());
@@ -51,7 +51,7 @@
 #[test]
 fn late_claim_released() {
     let mut claims = Claims::new(owner(1), 100);
-    claims.wait_for(KeyHash(7));
+    claims.enlist(KeyHash(7));
     claims.give_up(KeyHash(7));
     let decided = apply(&mut claims, &[claim(1, &[7])]);
     assert_eq!(decided[0].stray.len(), 1);
@@ -61,6 +61,30 @@
     assert_eq!(claims.owner(KeyHash(7)), Some(&owner(2)));
 }
 
+#[test]
+fn leaving_refused() {
+    let mut claims = Claims::new(owner(1), 100);
+    assert_eq!(claims.enlist(KeyHash(7)), Enlisted::Waiting);
+    claims.give_up(KeyHash(7));
+    apply(&mut claims, &[claim(1, &[7])]);
+    // A release is on its way, after which another VM may own the key.
+    assert_eq!(claims.enlist(KeyHash(7)), Enlisted::Leaving);
+    apply(&mut claims, &[release(1, 7, 0)]);
+    assert_eq!(claims.enlist(KeyHash(7)), Enlisted::Waiting);
+}
+
+#[test]
+fn older_coverage() {
+    let mut peer = Claims::new(owner(2), 100);
+    peer.skip_to(Offset(10));
+    apply(&mut peer, &[claim(2, &[7]), claim(3, &[8])]);
+    let mut fresh = Claims::new(owner(1), 100);
+    assert!(fresh.import(&peer.export()).is_none());
+    fresh.skip_to(Offset(10));
+    assert!(fresh.import(&peer.export()).is_some());
+    assert_eq!(fresh.owner(KeyHash(7)), Some(&owner(2)));
+}
+
 #[test]
 fn stale_release() {
     let mut claims = Claims::new(owner(3), 100);
@@ -84,12 +108,12 @@
 #[test]
 fn import_keeps_running() {
     let mut mine = Claims::new(owner(1), 100);
-    mine.wait_for(KeyHash(7));
+    mine.enlist(KeyHash(7));
     let records = [claim(1, &[7]), claim(2, &[8])];
     apply(&mut mine, &records[..1]);
     let mut peer = Claims::new(owner(2), 100);
     apply(&mut peer, &records);
-    let decided = mine.import(peer.export()).unwrap();
+    let decided = mine.import(&peer.export()).unwrap();
     assert_eq!(decided.stray, [], "a running job's claim was given up");
     assert!(!mine.leaving(KeyHash(7)));
     assert_eq!(mine.owner(KeyHash(8)), Some(&owner(2)));
@@ -120,7 +144,7 @@
         let mut peer = Claims::new(owner(2), 1000);
         apply(&mut peer, &records[..split]);
         let mut late = Claims::new(owner(3), 1000);
-        late.import(peer.export());
+        late.import(&peer.export());
         let read = late.next().0 as usize;
         apply(&mut late, &records[read..]);
         for key in (0..5).map(KeyHash) {
@@ -132,7 +156,9 @@
     fn one_winner(records in records()) {
         let mut readers: Vec<_> = (1..4).map(|n| Claims::new(owner(n), 1000)).collect();
         for reader in &mut readers {
-            (0..5).for_each(|key| reader.wait_for(KeyHash(key)));
+            for key in (0..5).map(KeyHash) {
+                reader.enlist(key);
+            }
         }
         let mut won = vec![0; 5];
         for reader in &mut readers {
--- a/components/wire/src/body.rs
+++ b/components/wire/src/body.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
 
 /// Why a body could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,18 +31,38 @@
 
 impl std::error::Error for BodyError {}
 
+/// The most bytes of a body that is too long which are read and dropped, so
+/// that the other side gets to read why it was refused.
+const DISCARD_SIZE: usize = 64 << 20;
+
 /// Reads a whole body.
 ///
 /// # Errors
 ///
 /// Fails when it is longer than `max` bytes, takes longer than `wait`, or the
 /// connection breaks.
-pub async fn read_body(body: Incoming, max: usize, wait: Duration) -> Result<Bytes, BodyError> {
-    let whole = Limited::new(body, max).collect();
-    match tokio::time::timeout(wait, whole).await {
+pub async fn read_body(mut body: Incoming, max: usize, wait: Duration) -> Result<Bytes, BodyError> {
+    let until = Instant::now() + wait;
+    let whole = timeout_at(until, Limited::new(&mut body, max).collect()).await;
+    match whole {
         Err(_) => Err(BodyError::Slow),
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(BodyError::TooLong),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            let _ = timeout_at(until, discard(body)).await;
+            Err(BodyError::TooLong)
+        }
         Ok(Err(_)) => Err(BodyError::Broken),
     }
 }
+
+/// Reads on without keeping anything.
+async fn discard(mut body: Incoming) {
+    let mut left = DISCARD_SIZE;
+    while let Some(Ok(frame)) = body.frame().await {
+        let size = frame.data_ref().map_or(0, Bytes::len);
+        match left.checked_sub(size) {
+            Some(rest) => left = rest,
+            None => return,
+        }
+    }
+}
