--- a/components/replay/src/lib.rs
+++ b/components/replay/src/lib.rs
@@ -17,6 +17,8 @@
 mod watch;
 
 pub use book::{Attempt, Book, End, Submission};
+pub use client::Caller;
+pub use doors::{Door, Doors};
 pub use error::{TraceError, TraceErrorKind};
 pub use fleet::Fleet;
 pub use generate::generate;
