--- a/components/membership/examples/cost.rs
+++ b/components/membership/examples/cost.rs
@@ -77,19 +77,19 @@
 
     let began = Instant::now();
     let beat = fleet.nodes[from].state.beat(now, target, ());
-    let sent = rmp_serde::to_vec(&beat).unwrap_or_default();
+    let sent = rmp_serde::to_vec(&beat).expect("bytes");
     let asked = began.elapsed();
 
     let began = Instant::now();
     let there = &mut fleet.nodes[to].state;
-    let heard: membership::Beat<()> = rmp_serde::from_slice(&sent).unwrap_or(beat);
+    let heard: membership::Beat<()> = rmp_serde::from_slice(&sent).expect("a heartbeat");
     there.on_beat(now, &heard);
     let answer = there.reply(now, &heard.from, ());
-    let back = rmp_serde::to_vec(&answer).unwrap_or_default();
+    let back = rmp_serde::to_vec(&answer).expect("bytes");
     let answered = began.elapsed();
 
     let began = Instant::now();
-    let heard: membership::Beat<()> = rmp_serde::from_slice(&back).unwrap_or(answer);
+    let heard: membership::Beat<()> = rmp_serde::from_slice(&back).expect("an answer");
     fleet.nodes[from].state.on_reply(now, target, &heard);
     let taken = began.elapsed();
 
--- /dev/null
+++ b/components/membership/tests/beat.rs
@@ -0,0 +1,30 @@
+//! Heartbeats survive the codec.
+
+mod common;
+
+use common::{Fleet, minion};
+use kernel::Offset;
+use membership::{Beat, Target};
+
+#[test]
+fn round_trip() {
+    let mut fleet = Fleet::settled(&["a", "b"], 3);
+    let now = fleet.now;
+    let to = &fleet.nodes[1].vm;
+    let target = Target {
+        id: to.id.clone(),
+        addr: to.peers,
+        incarnation: Some(to.incarnation),
+    };
+    let heir = fleet.nodes[2].vm.incarnation;
+    let state = &mut fleet.nodes[0].state;
+    state.mark_leaving(now, minion("a", 1));
+    state.set_offsets(Some(Offset(4)), None);
+    state.hand_over(now, heir);
+    let beat = state.beat(now, &target, vec![7u8]);
+    assert_eq!(beat.vms.len(), membership::MAX_VM_NEWS);
+    assert_eq!(beat.leaving.news.len(), 1);
+    let bytes = rmp_serde::to_vec(&beat).unwrap();
+    let read: Beat<Vec<u8>> = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(read, beat);
+}
--- a/components/membership/tests/common/mod.rs
+++ b/components/membership/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 use kernel::{Incarnation, Millis, MinionId, Timestamp};
 use membership::{Config, Generation, ListedVm, Listing, Membership, Presence, Target, View, Vm};
+use rand::Rng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rand_xoshiro::rand_core::SeedableRng;
 use std::sync::Arc;
@@ -70,6 +71,10 @@
     pub nodes: Vec<Node>,
     /// Heartbeats sent so far.
     pub sent: usize,
+    /// How many of a hundred heartbeats, or else their answers, are lost.
+    pub loss: u32,
+    /// Randomness for losses.
+    pub rng: Dice,
 }
 
 impl Fleet {
@@ -78,6 +83,8 @@
             now: Timestamp(0),
             nodes: Vec::new(),
             sent: 0,
+            loss: 0,
+            rng: dice(5),
         };
         for domain in domains {
             for _ in 0..per_domain {
@@ -150,10 +157,18 @@
             self.nodes[from].state.on_failure(now, target);
             return;
         };
+        if self.rng.random_range(0..100) < self.loss {
+            self.nodes[from].state.on_failure(now, target);
+            return;
+        }
         let beat = self.nodes[from].state.beat(now, target, ());
         let there = &mut self.nodes[to].state;
         there.on_beat(now, &beat);
         let answer = there.reply(now, &beat.from, ());
+        if self.rng.random_range(0..100) < self.loss {
+            self.nodes[from].state.on_failure(now, target);
+            return;
+        }
         self.nodes[from].state.on_reply(now, target, &answer);
     }
 
--- a/components/membership/tests/leaving.rs
+++ b/components/membership/tests/leaving.rs
@@ -38,6 +38,19 @@
     }
 }
 
+#[test]
+fn lossy() {
+    let mut fleet = Fleet::settled(&REGIONS, 8);
+    fleet.loss = 10;
+    fleet.run(Millis(5000));
+    for n in 0..20 {
+        let gone = minion("a", n);
+        let now = fleet.now;
+        fleet.nodes[n % 8].state.mark_leaving(now, gone.clone());
+        assert!(time_to_know(&mut fleet, "a", &[gone]) <= Millis(2000));
+    }
+}
+
 #[test]
 fn other_domain() {
     let mut fleet = Fleet::settled(&REGIONS, 8);
--- a/components/sheet/tests/log.rs
+++ b/components/sheet/tests/log.rs
@@ -182,6 +182,23 @@
     assert_eq!(log.adopt(peer.snapshot().unwrap()), Adopted::Behind);
 }
 
+#[test]
+fn snapshot_codec() {
+    let rng = &mut dice(15);
+    let mut log = SheetLog::new();
+    let v0 = accept(&mut log, &full(rng, Base::Empty, 1));
+    accept(&mut log, &full(rng, Base::At(v0), 2));
+    feed(&mut log, &full(rng, Base::At(v0), 3));
+    let snapshot = log.snapshot().unwrap();
+    let bytes = rmp_serde::to_vec(&snapshot).unwrap();
+    let read: sheet::Snapshot = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(read, snapshot);
+    let mut new = SheetLog::new();
+    new.trimmed(Offset(1));
+    assert_eq!(new.adopt(read), Adopted::Settled);
+    assert_eq!(new.held(), log.held());
+}
+
 #[test]
 fn sheet_only() {
     let rng = &mut dice(9);
