membership: departed incarnations are forgotten by age

Cause: each VM dropped the one that it had learned of first once 1,024 were known. After a week of restarts the VMs' sets would have differed for good, and every heartbeat would have carried eight of them.

Change: the time left to remember travels with the news and only shrinks.

Conclusion: departed_ends shows that all VMs forget; the cost of a week was reasoned, not run.

--- a/components/membership/src/beat.rs
+++ b/components/membership/src/beat.rs
@@ -79,4 +79,6 @@
     pub incarnation: Incarnation,
     /// Who took over what it owned, if it stopped as planned.
     pub successor: Option<Incarnation>,
+    /// How much longer that is remembered.
+    pub left: Millis,
 }
--- a/components/membership/src/departed.rs
+++ b/components/membership/src/departed.rs
@@ -1,23 +1,28 @@
 //! Incarnations that are gone for good, bounded.
 
-use kernel::{Incarnation, Timestamp, key_hash};
+use kernel::{Incarnation, Millis, Timestamp, key_hash};
 
 use crate::beat::DepartedNews;
 use crate::spread::{Spread, Stamp};
 
-/// The most incarnations remembered. At 135 restarts a day, it is a week's.
+/// The most incarnations remembered. At 135 restarts a day, they are forgotten before
+/// the bound is reached.
 pub const MAX_DEPARTED: usize = 1024;
 
 /// The most hand-overs in a row that are followed.
 const MAX_CHAIN: usize = 16;
 
+/// What a hop takes off the time to remember, so that VMs can't keep an
+/// incarnation in memory among themselves.
+const HOP_COST: Millis = Millis(100);
+
 /// What is known of one.
 #[derive(Debug, Clone, Copy)]
 struct Exit {
     /// Who took over what it owned.
     successor: Option<Incarnation>,
-    /// When this VM learned of it.
-    learned: Timestamp,
+    /// Until when it is remembered.
+    until: Timestamp,
 }
 
 impl Stamp for Exit {
@@ -60,11 +65,12 @@
     }
 
     /// Returns what is known of an incarnation that is gone.
-    pub(crate) fn get(&self, incarnation: Incarnation) -> Option<DepartedNews> {
+    pub(crate) fn get(&self, now: Timestamp, incarnation: Incarnation) -> Option<DepartedNews> {
         let exit = self.exits.get(&incarnation)?;
         Some(DepartedNews {
             incarnation,
             successor: exit.successor,
+            left: exit.until.since(now),
         })
     }
 
@@ -72,9 +78,13 @@
     /// two, the greater stays, so that all VMs come to the same.
     pub(crate) fn add(&mut self, now: Timestamp, news: DepartedNews) -> bool {
         let old = self.exits.get(&news.incarnation).copied();
+        let until = now.after(Millis(news.left.0.saturating_sub(HOP_COST.0)));
+        if until <= now {
+            return false;
+        }
         let exit = Exit {
             successor: news.successor.max(old.and_then(|e| e.successor)),
-            learned: old.map_or(now, |e| e.learned),
+            until: old.map_or(until, |e| e.until.min(until)),
         };
         let changed = self.exits.put(news.incarnation, exit);
         if self.exits.len() > MAX_DEPARTED {
@@ -83,12 +93,22 @@
         changed
     }
 
+    /// Forgets those whose time is over.
+    pub(crate) fn expire(&mut self, now: Timestamp) {
+        let over = self.exits.iter().filter(|(_, e)| e.until <= now);
+        let over: Vec<Incarnation> = over.map(|(incarnation, _)| *incarnation).collect();
+        for incarnation in &over {
+            self.exits.remove(incarnation);
+        }
+    }
+
     /// Returns some to tell, the least told first.
-    pub(crate) fn batch(&mut self, max: usize) -> Vec<DepartedNews> {
+    pub(crate) fn batch(&mut self, now: Timestamp, max: usize) -> Vec<DepartedNews> {
         let some = self.exits.batch(max, u32::MAX, |_| true).into_iter();
         let news = some.map(|(incarnation, exit)| DepartedNews {
             incarnation,
             successor: exit.successor,
+            left: exit.until.since(now),
         });
         news.collect()
     }
@@ -112,7 +132,7 @@
     }
 
     fn drop_oldest(&mut self) {
-        let oldest = self.exits.iter().min_by_key(|(_, e)| e.learned);
+        let oldest = self.exits.iter().min_by_key(|(_, e)| e.until);
         if let Some(key) = oldest.map(|(k, _)| *k) {
             self.exits.remove(&key);
         }
--- a/components/membership/src/hear.rs
+++ b/components/membership/src/hear.rs
@@ -1,6 +1,6 @@
 //! What goes into heartbeats, and what is taken from them.
 
-use kernel::{Millis, Offset, Timestamp, VmId};
+use kernel::{Incarnation, Millis, Offset, Timestamp, VmId};
 use rand::Rng;
 
 use crate::beat::{
@@ -45,9 +45,9 @@
             news: Vec::new(),
         };
         if their_departed != departed.digest {
-            departed.news = self.departed.batch(MAX_DEPARTED_NEWS);
+            departed.news = self.departed.batch(now, MAX_DEPARTED_NEWS);
         }
-        if let Some(own) = asker.and_then(|vm| self.departed.get(vm.incarnation)) {
+        if let Some(own) = asker.and_then(|vm| self.departed.get(now, vm.incarnation)) {
             departed.news.truncate(MAX_DEPARTED_NEWS - 1);
             departed.news.push(own);
         }
@@ -109,13 +109,7 @@
         }
         let mut fresh = false;
         if let Some(successor) = beat.successor {
-            fresh |= self.depart(
-                now,
-                DepartedNews {
-                    incarnation: beat.from.incarnation,
-                    successor: Some(successor),
-                },
-            );
+            fresh |= self.part_with(now, beat.from.incarnation, Some(successor));
         }
         for news in beat.vms.iter().take(MAX_VM_NEWS) {
             self.hear_vm(now, news);
@@ -193,14 +187,7 @@
         peer.become_life(vm);
         peer.due = now;
         if let Some(incarnation) = before {
-            let successor = None;
-            self.depart(
-                now,
-                DepartedNews {
-                    incarnation,
-                    successor,
-                },
-            );
+            self.part_with(now, incarnation, None);
         }
         true
     }
@@ -220,15 +207,25 @@
             }
             self.me.generation = Generation(vm.generation.0.saturating_add(1));
         }
-        let incarnation = vm.incarnation;
-        let successor = None;
+        self.part_with(now, vm.incarnation, None);
+    }
+
+    /// Notes what this VM itself has found to be gone.
+    pub(crate) fn part_with(
+        &mut self,
+        now: Timestamp,
+        incarnation: Incarnation,
+        successor: Option<Incarnation>,
+    ) -> bool {
+        let left = self.config.forget_after;
         self.depart(
             now,
             DepartedNews {
                 incarnation,
                 successor,
+                left,
             },
-        );
+        )
     }
 
     /// Notes that an incarnation is gone. It answers whether that is news.
--- a/components/membership/src/tick.rs
+++ b/components/membership/src/tick.rs
@@ -3,7 +3,6 @@
 use kernel::{Incarnation, Millis, Timestamp, VmId};
 use rand::Rng;
 
-use crate::beat::DepartedNews;
 use crate::event::Target;
 use crate::membership::Membership;
 use crate::peer::{Peer, SUSPECT_FAILS};
@@ -36,6 +35,7 @@
         }
         self.ticked = now;
         self.leaving.expire(now);
+        self.departed.expire(now);
         self.give_up(now);
         self.note_departures(now);
         self.count(now);
@@ -126,14 +126,7 @@
             .filter(|i| !self.departed.contains(*i))
             .collect();
         for incarnation in gone {
-            let successor = None;
-            self.departed.add(
-                now,
-                DepartedNews {
-                    incarnation,
-                    successor,
-                },
-            );
+            self.part_with(now, incarnation, None);
         }
         let keep = self.config.forget_after;
         self.peers.retain(|p| {
--- a/components/membership/tests/bounds.rs
+++ b/components/membership/tests/bounds.rs
@@ -30,6 +30,7 @@
     let exits = (0..rng.random_range(0..50)).map(|_| DepartedNews {
         incarnation: Incarnation::draw(rng),
         successor: None,
+        left: Millis(rng.random_range(0..86_400_000)),
     });
     let departed = Sync {
         digest: 6,
--- a/components/membership/tests/fleet.rs
+++ b/components/membership/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use common::{Fleet, listing, vm};
 use kernel::{Incarnation, Millis, Offset};
-use membership::{Contact, Health, Located, Presence};
+use membership::{Config, Contact, Health, Located, Membership, Presence};
 
 const REGIONS: [&str; 5] = ["a", "b", "c", "d", "e"];
 
@@ -69,6 +69,31 @@
     }
 }
 
+#[test]
+fn departed_ends() {
+    let mut fleet = Fleet::new(&["a"], 0);
+    for n in 0..3 {
+        let vm = vm("a", n, 1);
+        let config = Config {
+            forget_after: Millis(30_000),
+            ..Config::default()
+        };
+        let at = fleet.start(vm.clone());
+        fleet.nodes[at].state = Membership::new(fleet.now, vm, config, common::dice(9));
+    }
+    fleet.list_all();
+    fleet.run(Millis(2000));
+    let (old, heir) = (life(&fleet, 0), life(&fleet, 1));
+    let now = fleet.now;
+    fleet.nodes[0].state.hand_over(now, heir);
+    fleet.run(Millis(1000));
+    fleet.nodes[0].down = true;
+    let successor = Some(heir);
+    assert_eq!(fleet.view(2).locate(old), Located::Gone { successor });
+    fleet.run(Millis(31_000));
+    assert!(fleet.views().iter().all(|v| v.departed.is_empty()));
+}
+
 #[test]
 fn paused_returns() {
     let mut fleet = Fleet::settled(&["a", "b"], 3);
