--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -87,7 +87,7 @@
         connect: C,
     ) -> Result<Vm, StartError> {
         match routing.policy {
-            PolicyKind::Balanced => start(cfg, routing, limits, connect, Balanced::default()).await,
+            PolicyKind::Balanced => start(cfg, routing, limits, connect, Balanced).await,
             PolicyKind::Random => start(cfg, routing, limits, connect, Random).await,
             PolicyKind::Least => start(cfg, routing, limits, connect, LeastOwn).await,
             PolicyKind::Split => start(cfg, routing, limits, connect, Split).await,
