limits: admit jobs up to 40% of their deadline; routing: outliers in a module

Change: the estimate may take 40% of the deadline in place of 80%, because the job's rank lets others pass and its longest task is above the quantile.

--- a/components/limits/src/config.rs
+++ b/components/limits/src/config.rs
@@ -22,7 +22,7 @@
     fn default() -> LimitsConfig {
         LimitsConfig {
             queue_max: 20_000,
-            deadline_part: 80,
+            deadline_part: 40,
             admission: true,
             retry_part: 10,
             peer_ttl: Millis(3000),
@@ -59,7 +59,7 @@
             Key {
                 name: "deadline_percent",
                 kind: Kind::Count(1, 100),
-                default: Some("80"),
+                default: Some("40"),
                 help: "A job is refused when its estimated time exceeds this part of its deadline.",
             },
             Key {
--- a/components/routing/examples/policy.rs
+++ b/components/routing/examples/policy.rs
@@ -1,8 +1,9 @@
 //! An open-loop experiment on the decision code: several fleets share minions
 //! of 8 slots, on one event heap and without a network. All policies meet the
 //! same jobs. Run it with
-//! `cargo run --release -p routing --example policy -- SEED [REFUSALS]`, where
-//! REFUSALS is the budget of refusals for each thousand tasks.
+//! `cargo run --release -p routing --example policy -- SEED [REFUSALS [PART]]`,
+//! where REFUSALS is the budget of refusals for each thousand tasks and PART is
+//! `load` or `overload`.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -561,27 +562,41 @@
     let seed = std::env::args().nth(1).map_or(1, |s| s.parse().unwrap());
     let refusals = std::env::args().nth(2).map_or(1, |s| s.parse().unwrap());
     let base = Scenario { refusals, ..BASE };
-    let quick = std::env::args().nth(3).is_some();
+    let part = std::env::args().nth(3).unwrap_or_default();
     println!("seed {seed}; response over ideal of jobs, 50 minions of 8 slots");
+    if part != "overload" {
+        loads(&base, seed);
+        faults(&base, seed);
+    }
+    if part != "load" {
+        overload(&base, seed);
+    }
+}
+
+fn loads(base: &Scenario, seed: u64) {
     for vms in [1, 3, 8] {
         for load in [0.5, 0.7, 0.9, 1.2] {
-            compare("No faults.", &Scenario { vms, load, ..base }, seed);
+            let sc = Scenario { vms, load, ..*base };
+            compare("No faults.", &sc, seed);
         }
     }
-    if quick {
-        return;
-    }
+}
+
+fn faults(base: &Scenario, seed: u64) {
     let faults = [
         ("One minion of 50 fails everything fast.", Fault::FailsAll),
         ("One minion of 50 is 20 times slower.", Fault::Slow(20)),
         ("One minion of 50 flaps every 2 s.", Fault::Flaps),
     ];
     for (title, fault) in faults {
-        compare(title, &Scenario { fault, ..base }, seed);
+        compare(title, &Scenario { fault, ..*base }, seed);
     }
+}
+
+fn overload(base: &Scenario, seed: u64) {
     let tight = Scenario {
         deadline: 3 * SECOND,
-        ..base
+        ..*base
     };
     for admission in [false, true] {
         for load in [1.0, 2.0] {
--- a/components/routing/src/shared.rs
+++ b/components/routing/src/shared.rs
@@ -9,30 +9,17 @@
 
 use crate::budget::Budget;
 use crate::config::RoutingConfig;
-use crate::demand::Demand;
-use crate::digest::{Digest, Evidence, MAX_EVIDENCE, MAX_LOADS};
+use crate::digest::{Digest, MAX_EVIDENCE, MAX_LOADS};
 use crate::fleet::lock;
-use crate::health::{Mode, fails_needed};
+use crate::health::Mode;
 use crate::minion::{MinionInfo, MinionStatus, Node};
+use crate::outliers::evidence;
 use crate::remote::Remotes;
-use crate::slot::Finish;
 use crate::table::{Offer, Table};
 
 /// How often loads are summed up and minions reopened.
 const REFRESH: Millis = Millis(20);
 
-/// A VM whose turn it is not waits this much longer before it probes.
-const PROBE_TURN: Millis = Millis(2000);
-
-/// Tasks in flight for so many mean run times make a minion suspect.
-const STUCK: u64 = 6;
-
-/// A single task in flight may take so many mean run times.
-const STUCK_ALONE: u64 = 12;
-
-/// The weight of one answer in the ordinary failure rate.
-const RATE_WEIGHT: f64 = 1.0 / 512.0;
-
 /// What a peer VM said last.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -46,11 +33,11 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     /// The VM's failure domain.
-    home: Domain,
+    pub(crate) home: Domain,
     /// The settings.
-    cfg: RoutingConfig,
+    pub(crate) cfg: RoutingConfig,
     /// Whether outliers are ejected.
-    outliers: bool,
+    pub(crate) outliers: bool,
     /// The minions.
     pub(crate) table: ArcSwap<Table>,
     /// Held while the table is built and swapped.
@@ -62,9 +49,9 @@
     /// Peers' digests, by VM.
     pub(crate) peers: Mutex<HashMap<VmId, Peer>>,
     /// What is known of other domains.
-    remotes: Mutex<Remotes>,
+    pub(crate) remotes: Mutex<Remotes>,
     /// The ordinary failure rate, as the bits of an `f64`.
-    rate: AtomicU64,
+    pub(crate) rate: AtomicU64,
     /// When the last digest was made, in microseconds of [`Timestamp`].
     pub(crate) told: AtomicU64,
     /// When [`Shared::urgent`] last looked at the leases, in the same unit.
@@ -214,155 +201,6 @@
         self.busy.store(busy, Ordering::Relaxed);
     }
 
-    /// Suspects minions whose tasks have been in flight for too long.
-    fn suspect_stuck(&self, table: &Table, now: Timestamp) {
-        for offer in table.offers.values() {
-            let run = offer.demand.run();
-            for at in offer.local.iter() {
-                let state = &table.nodes[at].state;
-                let held = state.held.read();
-                let alone = held.count() == 1;
-                let factor = if alone { STUCK_ALONE } else { STUCK };
-                if held.age(now) > factor * run && state.mode() == Mode::Normal {
-                    set_mode(&table.nodes[at], Mode::Suspect);
-                }
-            }
-        }
-    }
-
-    /// Readmits the minions whose hold ends first where too many are ejected,
-    /// because then the fault is likely elsewhere.
-    fn bound_ejections(&self, table: &Table, now: Timestamp) {
-        let mut domains: HashMap<&Domain, (usize, Vec<&Arc<Node>>)> = HashMap::default();
-        for node in table.nodes.iter().filter(|n| !n.info.leaving) {
-            let (all, held) = domains.entry(&node.info.domain).or_default();
-            *all += 1;
-            if node.state.mode() == Mode::Ejected && closed(node) > now {
-                held.push(node);
-            }
-        }
-        for (all, mut held) in domains.into_values() {
-            let max = max_ejected(all, self.cfg.eject_max);
-            if held.len() <= max {
-                continue;
-            }
-            held.sort_by_key(|n| closed(n));
-            for node in &held[..held.len() - max] {
-                set_mode(node, Mode::Suspect);
-                node.state.closed.store(0, Ordering::Relaxed);
-            }
-        }
-    }
-
-    /// Learns from the end of a task.
-    pub(crate) fn learn(&self, node: &Arc<Node>, demand: &Demand, end: Finish, now: Timestamp) {
-        self.learn_domain(node, end, now);
-        match end {
-            Finish::Answered { run } => self.answered(node, demand.ran(run), now),
-            Finish::TaskFailed | Finish::Lost => self.failed(node, now),
-            Finish::NotStarted => {
-                self.budget.spend();
-                let back = lock(&node.state.health).refused();
-                node.state.close(now.after(back));
-            }
-            Finish::Cancelled => {}
-        }
-    }
-
-    /// Learns what the end of a task shows of another domain.
-    fn learn_domain(&self, node: &Node, end: Finish, now: Timestamp) {
-        let domain = &node.info.domain;
-        if *domain == self.home {
-            return;
-        }
-        match end {
-            Finish::Answered { .. } | Finish::TaskFailed => lock(&self.remotes).answered(domain),
-            Finish::Lost | Finish::NotStarted => lock(&self.remotes).failed(domain, now),
-            Finish::Cancelled => {}
-        }
-    }
-
-    /// Notes a good answer.
-    fn answered(&self, node: &Arc<Node>, ratio: f64, now: Timestamp) {
-        self.count_rate(false);
-        let mode = node.state.mode();
-        let slow = lock(&node.state.health).answered(ratio, mode != Mode::Normal);
-        if slow && self.outliers {
-            self.eject(node, now);
-            return;
-        }
-        // A task sent before the hold may answer during it; only a probe
-        // readmits.
-        if mode == Mode::Ejected && closed(node) > now {
-            return;
-        }
-        set_mode(node, Mode::Normal);
-        node.state.closed.store(0, Ordering::Relaxed);
-    }
-
-    /// Notes a failure.
-    fn failed(&self, node: &Arc<Node>, now: Timestamp) {
-        let own = lock(&node.state.health).failed();
-        // Only the first of a row counts, or one bad minion would raise the
-        // rate that it is judged by.
-        if own == 1 {
-            self.count_rate(true);
-        }
-        if self.outliers {
-            self.judge(node, own, now);
-        }
-    }
-
-    /// Ejects a minion that failed too often over all VMs, or suspects it.
-    fn judge(&self, node: &Arc<Node>, own: u32, now: Timestamp) {
-        let held = node.state.mode() == Mode::Ejected && closed(node) > now;
-        if held {
-            return;
-        }
-        let rate = f64::from_bits(self.rate.load(Ordering::Relaxed));
-        let probe = node.state.mode() == Mode::Ejected;
-        if probe || own + self.peer_fails(node) >= fails_needed(rate) {
-            self.eject(node, now);
-        } else {
-            set_mode(node, Mode::Suspect);
-        }
-    }
-
-    /// Counts the failures in a row that peers reported of a minion.
-    fn peer_fails(&self, node: &Node) -> u32 {
-        let peers = lock(&self.peers);
-        let all = peers.values().flat_map(|p| &p.digest.evidence);
-        all.filter(|e| e.minion == node.hash)
-            .map(|e| u32::from(e.fails))
-            .sum()
-    }
-
-    /// Starts a hold. One VM of the domain probes first, the others later, so
-    /// that a probe costs one job and not one for each VM.
-    fn eject(&self, node: &Arc<Node>, now: Timestamp) {
-        let end = lock(&node.state.health).hold(&self.cfg, now);
-        set_mode(node, Mode::Ejected);
-        node.state.close(self.turn(node, end));
-    }
-
-    /// Returns when this VM may probe a minion whose hold ends at `end`.
-    fn turn(&self, node: &Node, end: Timestamp) -> Timestamp {
-        let place = u64::from(self.place(node));
-        end.after(Millis(PROBE_TURN.0 * place))
-    }
-
-    /// Moves the ordinary failure rate.
-    fn count_rate(&self, failed: bool) {
-        let rate = f64::from_bits(self.rate.load(Ordering::Relaxed));
-        // Without failures, threads would write the same zero over and over.
-        if !failed && rate < RATE_WEIGHT * RATE_WEIGHT {
-            return;
-        }
-        let seen = if failed { 1.0 } else { 0.0 };
-        let next = rate + RATE_WEIGHT * (seen - rate);
-        self.rate.store(next.to_bits(), Ordering::Relaxed);
-    }
-
     /// Tells whether waiting here takes longer than the trip to a domain that
     /// has room.
     pub(crate) fn may_spill(&self, offer: &Offer, domain: &Domain, now: Timestamp) -> bool {
@@ -432,26 +270,6 @@
         self.refresh(now);
     }
 
-    /// Acts on a peer's evidence.
-    fn weigh(&self, evidence: &[Evidence], now: Timestamp) {
-        let table = self.table.load();
-        for seen in evidence {
-            let known = table.home.iter().map(|&at| &table.nodes[at]);
-            let Some(node) = known.clone().find(|n| n.hash == seen.minion) else {
-                continue;
-            };
-            if seen.hold > Millis(0) {
-                set_mode(node, Mode::Ejected);
-                node.state.close(self.turn(node, now.after(seen.hold)));
-                continue;
-            }
-            let own = lock(&node.state.health).fails;
-            if seen.fails > 0 {
-                self.judge(node, own, now);
-            }
-        }
-    }
-
     /// Lists all minions.
     pub(crate) fn status(&self) -> Vec<MinionStatus> {
         let table = self.table.load();
@@ -468,18 +286,6 @@
     }
 }
 
-/// Returns how many of a domain's minions may be ejected.
-fn max_ejected(all: usize, percent: u32) -> usize {
-    let part = all * percent as usize / 100;
-    let least = usize::from(all >= 2 && percent > 0);
-    part.max(least)
-}
-
-/// Sets how far a minion is trusted.
-fn set_mode(node: &Node, mode: Mode) {
-    node.state.mode.store(mode as u8, Ordering::Relaxed);
-}
-
 /// Returns when a minion may be picked again.
 pub(crate) fn closed(node: &Node) -> Timestamp {
     Timestamp(node.state.closed.load(Ordering::Relaxed))
@@ -494,17 +300,3 @@
     let peers = node.state.peers.load(Ordering::Relaxed);
     node.info.slots.0.saturating_sub(own + peers)
 }
-
-/// Returns what this VM itself has against a minion.
-fn evidence(node: &Node, now: Timestamp) -> Option<Evidence> {
-    let health = lock(&node.state.health);
-    let hold = health.until.since(now);
-    if health.fails == 0 && hold == Millis(0) {
-        return None;
-    }
-    Some(Evidence {
-        minion: node.hash,
-        fails: health.fails.min(255) as u8,
-        hold,
-    })
-}
