--- a/components/routing/tests/leases.rs
+++ b/components/routing/tests/leases.rs
@@ -131,3 +131,18 @@
         }
     }
 }
+
+#[test]
+fn urgent_digest() {
+    let fleets = fleets();
+    for now in 0..6 {
+        beat(&fleets, now as usize % VMS, now * 30, |_| false);
+    }
+    assert!(!fleets[0].urgent(ms(300)), "nobody waits");
+    let _held: Vec<_> = std::iter::from_fn(|| take(&fleets[0], 300).ok()).collect();
+    fleets[0].set_waiting(&service(), 10);
+    assert!(fleets[0].urgent(ms(310)));
+    beat(&fleets, 0, 310, |_| false);
+    assert!(!fleets[0].urgent(ms(320)), "one went out just now");
+    assert!(fleets[1].urgent(ms(320)), "a peer has leases to hand over");
+}
