--- a/components/routing/examples/policy.rs
+++ b/components/routing/examples/policy/world.rs
@@ -1,25 +1,15 @@
-//! An open-loop experiment on the decision code: several fleets share minions
-//! of 8 slots, on one event heap and without a network. All policies meet the
-//! same jobs. Run it with
-//! `cargo run --release -p routing --example policy -- SEED [REFUSALS [PART]]`,
-//! where REFUSALS is the budget of refusals for each thousand tasks and PART is
-//! `load` or `overload`.
+//! VMs and minions on one event heap.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use kernel::{Cores, Domain, MinionId, Service, Slots, Timestamp, VmId};
+use kernel::{Cores, MinionId, Slots, Timestamp, VmId};
 use limits::{Admission, Demand, JobOrder, LimitsConfig, Queue, RunTimes, Waiting};
-use rand::{Rng, SeedableRng};
-use rand_distr::{Distribution, Exp, LogNormal};
-use rand_xoshiro::Xoshiro256PlusPlus;
-use routing::{
-    Balanced, Digest, Finish, Fleet, LeastOwn, MinionInfo, Policy, Random, RoutingConfig, Slot,
-    Split,
-};
+use routing::{Digest, Finish, Fleet, Policy, Slot};
+
+use crate::jobs::{Fault, Job, MINIONS, SECOND, SLOTS, Scenario, WARM_UP};
+use crate::setup::{Totals, fleet, service};
 
-const MINIONS: usize = 50;
-const SLOTS: u32 = 8;
 /// One way between a VM and a minion or another VM, in microseconds.
 const HOP: u64 = 250;
 /// There and back between a caller and a VM, in microseconds.
@@ -29,49 +19,8 @@
 const TICK: u64 = 20_000;
 /// A failing minion answers after this time, in microseconds.
 const FAIL_TIME: u64 = 5000;
-const SECOND: u64 = 1_000_000;
-const WARM_UP: u64 = 5 * SECOND;
 const MAX_TRIES: u32 = 3;
 
-#[derive(Clone, Copy, PartialEq)]
-enum Fault {
-    None,
-    FailsAll,
-    Slow(u64),
-    Flaps,
-}
-
-#[derive(Clone, Copy)]
-struct Scenario {
-    vms: usize,
-    load: f64,
-    seconds: u64,
-    deadline: u64,
-    fault: Fault,
-    admission: bool,
-    burst: bool,
-    refusals: u32,
-}
-
-const BASE: Scenario = Scenario {
-    vms: 3,
-    load: 0.7,
-    seconds: 60,
-    deadline: 30 * SECOND,
-    fault: Fault::None,
-    admission: false,
-    burst: false,
-    refusals: 1,
-};
-
-struct Job {
-    at: u64,
-    vm: usize,
-    team: usize,
-    runs: Vec<u64>,
-    declared: Vec<u64>,
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Submit(usize),
@@ -101,50 +50,6 @@
     ticking: bool,
 }
 
-#[derive(Default)]
-struct Totals {
-    ratios: Vec<f64>,
-    waits: Vec<u64>,
-    tasks: u64,
-    wasted: u64,
-    good: u64,
-    lost: u64,
-    late: u64,
-    refused: u64,
-    digests: u64,
-    answered: Vec<u64>,
-}
-
-fn jobs(sc: &Scenario, seed: u64) -> Vec<Job> {
-    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
-    let runs = LogNormal::new((200_000f64).ln(), 0.6).unwrap();
-    let draw = |rng: &mut Xoshiro256PlusPlus| runs.sample(rng).clamp(50e3, 1e6) as u64;
-    let mean = (0..100_000).map(|_| draw(&mut rng)).sum::<u64>() as f64 / 1e5;
-    let tasks = 139.0 / 140f64.ln();
-    let rate = sc.load * MINIONS as f64 * f64::from(SLOTS) / mean / tasks;
-    let mut all = Vec::new();
-    let mut at = 0.0;
-    while at < (sc.seconds * SECOND) as f64 {
-        let burst = sc.burst && (20e6..22e6).contains(&at);
-        at += Exp::new(if burst { rate * 10.0 } else { rate })
-            .unwrap()
-            .sample(&mut rng);
-        let count = 140f64.powf(rng.random::<f64>()).round() as usize;
-        let runs: Vec<_> = (0..count).map(|_| draw(&mut rng)).collect();
-        let wrong = |&r: &u64| (r as f64 * 10f64.powf(rng.random_range(-1.0..1.0))) as u64;
-        let declared = runs.iter().map(wrong).collect();
-        let (vm, team) = (rng.random_range(0..sc.vms), rng.random_range(0..10));
-        all.push(Job {
-            at: at as u64,
-            vm,
-            team,
-            runs,
-            declared,
-        });
-    }
-    all
-}
-
 struct World<'a, P: Policy> {
     sc: Scenario,
     jobs: &'a [Job],
@@ -162,32 +67,6 @@
     totals: Totals,
 }
 
-fn service() -> Service {
-    "quote".parse().unwrap()
-}
-
-fn fleet<P: Policy>(policy: P, vm: usize, sc: &Scenario) -> Fleet<P> {
-    let home: Domain = "a".parse().unwrap();
-    let cfg = RoutingConfig {
-        seed: vm as u64,
-        refusals: sc.refusals,
-        ..RoutingConfig::default()
-    };
-    let fleet = Fleet::new(home.clone(), cfg, policy);
-    let minion = |i: usize| MinionInfo {
-        id: format!("a/m-{i:03}").parse().unwrap(),
-        domain: home.clone(),
-        addr: ([127, 0, 0, 1], 1000 + i as u16).into(),
-        services: vec![service()],
-        slots: Slots(SLOTS),
-        cores: Cores(30),
-        leaving: false,
-    };
-    fleet.update(&(0..MINIONS).map(minion).collect::<Vec<_>>());
-    fleet.set_peers(vm, sc.vms);
-    fleet
-}
-
 impl<P: Policy> World<'_, P> {
     fn at(&mut self, delay: u64, event: Event) {
         self.serial += 1;
@@ -453,16 +332,12 @@
         let vm = self.jobs[self.tasks[task].job].vm;
         self.tasks[task].avoid.push(id);
         let avoid = self.tasks[task].avoid.clone();
-        let again = match avoid.len() as u32 <= MAX_TRIES {
-            true => self.vms[vm]
-                .fleet
-                .acquire(&service(), Cores(1), &avoid, now)
-                .ok(),
-            false => None,
-        };
+        let fleet = &self.vms[vm].fleet;
+        let more = avoid.len() as u32 <= MAX_TRIES;
+        let again = more.then(|| fleet.acquire(&service(), Cores(1), &avoid, now));
         match again {
-            Some(slot) => self.send(task, slot),
-            None => {
+            Some(Ok(slot)) => self.send(task, slot),
+            _ => {
                 self.tasks[task].avoid.clear();
                 self.push(task);
                 self.dispatch(vm);
@@ -493,7 +368,8 @@
     }
 }
 
-fn run<P: Policy>(make: fn() -> P, sc: &Scenario, jobs: &[Job]) -> Totals {
+/// Runs one policy on the jobs of a scenario.
+pub fn run<P: Policy>(make: fn() -> P, sc: &Scenario, jobs: &[Job]) -> Totals {
     let vm = |i| Vm {
         fleet: fleet(make(), i, sc),
         queue: Queue::new(10_000_000),
@@ -520,105 +396,3 @@
     totals.waits.sort();
     totals
 }
-
-fn quantile(sorted: &[f64], q: f64) -> f64 {
-    let at = (sorted.len() as f64 * q) as usize;
-    sorted
-        .get(at.min(sorted.len().saturating_sub(1)))
-        .copied()
-        .unwrap_or(f64::NAN)
-}
-
-fn row(name: &str, sc: &Scenario, t: &Totals) {
-    println!(
-        "| {:3.0}% | {} | {name} | {:.3} | {:.2} | {:.4} | {} | {} | {} | {} | {:.0} |",
-        sc.load * 100.0,
-        sc.vms,
-        quantile(&t.ratios, 0.5),
-        quantile(&t.ratios, 0.99),
-        t.wasted as f64 / t.tasks as f64,
-        t.lost,
-        t.late,
-        t.refused,
-        t.good / (sc.seconds - WARM_UP / SECOND),
-        t.digests as f64 / (sc.seconds + 40) as f64 / sc.vms as f64,
-    );
-}
-
-fn compare(title: &str, sc: &Scenario, seed: u64) {
-    let jobs = jobs(sc, seed);
-    println!("\n{title}\n");
-    println!(
-        "| load | VMs | policy | p50 | p99 | wasted/task | lost | late | refused | good tasks/s | digests/s a VM |"
-    );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|");
-    row(Random::NAME, sc, &run(|| Random, sc, &jobs));
-    row(LeastOwn::NAME, sc, &run(|| LeastOwn, sc, &jobs));
-    row(Split::NAME, sc, &run(|| Split, sc, &jobs));
-    row(Balanced::NAME, sc, &run(|| Balanced, sc, &jobs));
-}
-
-fn main() {
-    let seed = std::env::args().nth(1).map_or(1, |s| s.parse().unwrap());
-    let refusals = std::env::args().nth(2).map_or(1, |s| s.parse().unwrap());
-    let base = Scenario { refusals, ..BASE };
-    let part = std::env::args().nth(3).unwrap_or_default();
-    println!("seed {seed}; response over ideal of jobs, 50 minions of 8 slots");
-    if part != "overload" {
-        loads(&base, seed);
-        faults(&base, seed);
-    }
-    if part != "load" {
-        overload(&base, seed);
-    }
-}
-
-fn loads(base: &Scenario, seed: u64) {
-    for vms in [1, 3, 8] {
-        for load in [0.5, 0.7, 0.9, 1.2] {
-            let sc = Scenario { vms, load, ..*base };
-            compare("No faults.", &sc, seed);
-        }
-    }
-}
-
-fn faults(base: &Scenario, seed: u64) {
-    let faults = [
-        ("One minion of 50 fails everything fast.", Fault::FailsAll),
-        ("One minion of 50 is 20 times slower.", Fault::Slow(20)),
-        ("One minion of 50 flaps every 2 s.", Fault::Flaps),
-    ];
-    for (title, fault) in faults {
-        compare(title, &Scenario { fault, ..*base }, seed);
-    }
-}
-
-fn overload(base: &Scenario, seed: u64) {
-    let tight = Scenario {
-        deadline: 3 * SECOND,
-        ..*base
-    };
-    for admission in [false, true] {
-        for load in [1.0, 2.0] {
-            let sc = Scenario {
-                load,
-                admission,
-                ..tight
-            };
-            compare(&format!("Deadline 3 s, admission {admission}."), &sc, seed);
-        }
-    }
-    for admission in [false, true] {
-        let sc = Scenario {
-            burst: true,
-            load: 0.5,
-            admission,
-            ..tight
-        };
-        compare(
-            &format!("Burst of 10 times for 2 s, admission {admission}."),
-            &sc,
-            seed,
-        );
-    }
-}
