pomelopost serves; metrics of a VM; JSON event lines; tests of the whole program

Change: src/cmd/serve.rs (SIGTERM or SIGINT stops as planned, a second one ends at once with exit code 1), src/report.rs (events out of the ring as JSON lines, metrics to statsd). entry counts through metrics: an event raises its counter in Core::note, tasks cut off at a minion count as waste.cancel, levels.rs sets the gauges once a second. entry::Counts is gone; status shows counters by their metrics' names. [timeline] capacity sets the ring.

--- a/components/entry/src/beat.rs
+++ b/components/entry/src/beat.rs
@@ -15,6 +15,7 @@
 use crate::core::Core;
 use crate::message::{BEAT_PATH, PeerState, STATE_PATH};
 use crate::pass::{PeerError, ask};
+use metrics::Count;
 
 /// The longest wait for a heartbeat's answer.
 const BEAT_WAIT: Duration = Duration::from_millis(400);
@@ -106,7 +107,7 @@
 
 async fn beat_one<C: Connect, P: Policy>(core: Arc<Core<C, P>>, target: Target, load: Load) {
     let beat = core.members().beat(core.now(), &target, load);
-    core.counts.beat_sent();
+    core.metrics.add(Count::HeartbeatSent, 1);
     let answer = ask::<_, _, Beat>(&core.peers, target.addr, BEAT_PATH, &beat, BEAT_WAIT).await;
     match answer {
         Ok(reply) => {
--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -86,6 +86,8 @@
     pub pool: PoolLimits,
     /// The longest that a planned stop waits for jobs in flight.
     pub stop_wait: Millis,
+    /// How many events the VM remembers.
+    pub ring: usize,
 }
 
 impl Config {
@@ -104,6 +106,7 @@
             log: LogLimits::default(),
             pool: PoolLimits::default(),
             stop_wait: Millis(30_000),
+            ring: timeline::Config::default().capacity,
         }
     }
 }
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -18,6 +18,7 @@
 use crate::beat::{ask_peers, beat_due, greet};
 use crate::claimer::Applied;
 use crate::core::Core;
+use crate::levels;
 use crate::message::CLAIMS_PATH;
 use crate::message::ClaimsReply;
 use crate::pass::ask;
@@ -54,6 +55,7 @@
     tokio::spawn(renew_sheet(core.clone()));
     tokio::spawn(read_claims(core.clone()));
     tokio::spawn(expire_claims(core.clone()));
+    tokio::spawn(levels::watch(core.clone()));
     let core = core.clone();
     tokio::spawn(async move { core.claimer.append_all(&core.platform).await });
 }
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -15,10 +15,11 @@
 
 use crate::claimer::Claimer;
 use crate::config::Config;
-use crate::count::Counts;
+use crate::count;
 use crate::dispatch::Dispatch;
 use crate::run::Run;
 use crate::sheets::Sheets;
+use metrics::Metrics;
 
 /// How far a VM is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -66,7 +67,7 @@
     /// The time line.
     pub recorder: Recorder,
     /// What is counted.
-    pub counts: Counts,
+    pub metrics: Metrics,
     /// How far the VM is, as [`Stage`].
     pub stage: AtomicU8,
 }
@@ -96,8 +97,11 @@
         self.stage() == Stage::Serving && self.sheets.known()
     }
 
-    /// Records an event on the time line.
+    /// Records an event on the time line, and counts it.
     pub fn note(&self, note: Note) {
+        if let Some(count) = count::of_event(&note.what) {
+            self.metrics.add(count, 1);
+        }
         self.recorder.record(note);
     }
 
--- a/components/entry/src/drive.rs
+++ b/components/entry/src/drive.rs
@@ -12,9 +12,11 @@
 
 use crate::claimer::Claimed;
 use crate::core::Core;
+use crate::count;
 use crate::pass::pass_to;
 use crate::run::Run;
 use crate::task::run_task;
+use metrics::Timing;
 
 /// Runs a job that has just been entered, and ends it for everyone who waits.
 pub async fn drive<C: Connect, P: Policy>(core: Arc<Core<C, P>>, run: Arc<Run>) {
@@ -100,7 +102,8 @@
 /// refused before anything was sent.
 fn settle<C: Connect, P: Policy>(core: &Core<C, P>, run: &Run, outcome: Outcome) {
     let key = &run.spec.key;
-    core.counts.outcome(&outcome);
+    core.metrics.add(count::of_outcome(&outcome), 1);
+    core.metrics.time(Timing::Response, run.age());
     note_outcome(core, key, &outcome);
     let outcome = Arc::new(outcome);
     match &*outcome {
--- /dev/null
+++ b/components/entry/src/levels.rs
@@ -0,0 +1,58 @@
+//! Sets the gauges, and raises the counters that are kept elsewhere.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics::{Count, Gauge};
+use routing::{Mode, Policy};
+use tokio::time::{MissedTickBehavior, interval};
+use wire::Connect;
+
+use crate::core::Core;
+use crate::status::{self, Status};
+
+/// How often the gauges are set.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// Sets the gauges now and then.
+pub async fn watch<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
+    let mut ticks = interval(LOOK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let (mut appends, mut missed) = (0, 0);
+    loop {
+        ticks.tick().await;
+        let status = status::read(&core);
+        for gauge in Gauge::ALL {
+            core.metrics.set(*gauge, level(&status, *gauge));
+        }
+        raise(&core, Count::WasteClaim, &mut appends, status.appends);
+        raise(
+            &core,
+            Count::EventMissed,
+            &mut missed,
+            core.recorder.missed(),
+        );
+    }
+}
+
+fn raise<C: Connect, P: Policy>(core: &Core<C, P>, count: Count, last: &mut u64, now: u64) {
+    core.metrics.add(count, now.saturating_sub(*last));
+    *last = now;
+}
+
+fn level(status: &Status, gauge: Gauge) -> u64 {
+    let minions = status.minions.iter();
+    let level = match gauge {
+        Gauge::JobsRunning => status.running,
+        Gauge::TasksQueued => status.services.iter().map(|s| s.waiting).sum(),
+        Gauge::TasksRunning => status.services.iter().map(|s| s.held).sum(),
+        Gauge::MinionsEjected => minions.filter(|m| m.mode == Mode::Ejected).count(),
+        Gauge::MinionsLeaving => minions.filter(|m| m.leaving).count(),
+        Gauge::PeersLive => status.peers.iter().filter(|p| p.belief == "live").count(),
+        Gauge::SheetOffset => return status.sheet.map_or(0, |at| at.0),
+        Gauge::LogAway => usize::from(status.log == "away"),
+        Gauge::KeptBytes => status.kept_bytes,
+        Gauge::TeamsAtQuota => status.teams.iter().filter(|t| t.held >= t.limit).count(),
+    };
+    level as u64
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod count;
 mod dispatch;
 mod drive;
+mod levels;
 mod lookup;
 mod message;
 mod pass;
@@ -25,6 +26,5 @@
 
 pub use api::{BadRequest, KEY_HEADER};
 pub use config::{Config, JobLimits, LogLimits, StopWait};
-pub use count::Counted;
 pub use status::{ChangeStatus, PeerStatus, ServiceStatus, Status};
 pub use vm::{StartError, Vm};
--- a/components/entry/src/pass.rs
+++ b/components/entry/src/pass.rs
@@ -22,6 +22,7 @@
 
 use crate::core::Core;
 use crate::message::{AWAIT_PATH, Ask, PASS_PATH, POLL_WAIT, Pass, PassReply};
+use metrics::Count;
 
 /// How long a peer may take over the wait that it was asked for.
 const GRACE: Duration = Duration::from_millis(500);
@@ -149,7 +150,7 @@
     let mut spec = spec.clone();
     spec.deadline = Millis((left.as_millis() as u64).max(1));
     let pass = Pass { target, spec };
-    core.counts.message_passed();
+    core.metrics.add(Count::WastePassed, 1);
     ask(
         &core.peers,
         addr,
@@ -170,7 +171,7 @@
         target,
         key: spec.key.clone(),
     };
-    core.counts.message_passed();
+    core.metrics.add(Count::WastePassed, 1);
     ask(
         &core.peers,
         addr,
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -153,13 +153,11 @@
     }
 
     fn other_version(&self) -> Response<Full<Bytes>> {
-        self.core.counts.message_broken();
         self.core.note(Note::new(EventKind::VersionRefused));
         empty(StatusCode::UPGRADE_REQUIRED)
     }
 
     fn broken(&self) -> Response<Full<Bytes>> {
-        self.core.counts.message_broken();
         self.core.note(Note::new(EventKind::BrokenRefused));
         empty(StatusCode::BAD_REQUEST)
     }
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -5,6 +5,7 @@
 
 use jobs::{JobSpec, Outcome, Ran, Reason};
 use kernel::Timestamp;
+use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -41,6 +42,12 @@
         }
     }
 
+    /// Returns the time since the job arrived.
+    pub fn age(&self) -> Duration {
+        let left = self.until.saturating_duration_since(Instant::now());
+        self.spec.deadline.duration().saturating_sub(left)
+    }
+
     /// Ends the job. Only the first outcome counts.
     pub fn end(&self, outcome: Arc<Outcome>) {
         self.ended.send_if_modified(|ended| {
--- a/components/entry/src/status.rs
+++ b/components/entry/src/status.rs
@@ -3,12 +3,13 @@
 use kernel::{Offset, Service, VmId};
 use limits::QuotaStatus;
 use membership::{Health, Presence};
+use metrics::Count;
 use routing::{MinionStatus, Policy};
 use serde::Serialize;
+use std::collections::BTreeMap;
 use wire::Connect;
 
 use crate::core::{Core, Stage};
-use crate::count::Counted;
 
 /// One VM's view of the fleet.
 #[derive(Debug, Clone, Serialize)]
@@ -51,7 +52,7 @@
     /// The bytes that kept answers take.
     pub kept_bytes: usize,
     /// Counters since the process's start.
-    pub counts: Counted,
+    pub counts: BTreeMap<&'static str, u64>,
     /// Slots given back that nobody held; any but zero is a fault.
     pub broken_slots: u64,
 }
@@ -122,11 +123,17 @@
         running,
         kept,
         kept_bytes,
-        counts: core.counts.read(),
+        counts: counts(core),
         broken_slots: core.dispatch.fleet.broken(),
     }
 }
 
+/// Returns every counter by its metric's name.
+fn counts<C: Connect, P: Policy>(core: &Core<C, P>) -> BTreeMap<&'static str, u64> {
+    let read = |count: &Count| (count.name(), core.metrics.count(*count));
+    Count::ALL.iter().map(read).collect()
+}
+
 fn stage_word(stage: Stage) -> &'static str {
     match stage {
         Stage::Serving => "serving",
--- a/components/entry/src/task.rs
+++ b/components/entry/src/task.rs
@@ -17,6 +17,7 @@
 
 use crate::core::Core;
 use crate::run::Run;
+use metrics::{Count, Metrics, Timing};
 
 /// The first pause after a minion turned a task away while the retry budget is
 /// used up; it doubles each time.
@@ -74,6 +75,8 @@
         match send(core, run, task, &minion).await {
             Sent::Answered(body) => {
                 let run_time = core.now().micros_since(started);
+                core.metrics
+                    .time(Timing::TaskRun, Duration::from_micros(run_time));
                 let learned = Millis(run_time / 1000);
                 let times = &core.dispatch.times;
                 times.record(&run.spec.service, &run.spec.team, learned);
@@ -95,7 +98,6 @@
             Sent::NotStarted => {
                 run.clear();
                 held.finish(Finish::NotStarted, core.now());
-                core.counts.not_started();
                 note(core, run, task, &minion, EventKind::TaskNotStarted);
             }
         }
@@ -121,6 +123,27 @@
     core.note(note.minion(&minion.id));
 }
 
+/// A task at a minion. Dropped before its answer it counts as cancelled, since
+/// its connection is closed then.
+struct Flight<'a> {
+    /// Where it is counted, until the answer has come.
+    metrics: Option<&'a Metrics>,
+}
+
+impl Flight<'_> {
+    fn land(mut self) {
+        self.metrics = None;
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        if let Some(metrics) = self.metrics {
+            metrics.add(Count::WasteCancel, 1);
+        }
+    }
+}
+
 async fn send<C: Connect, P: Policy>(
     core: &Core<C, P>,
     run: &Run,
@@ -131,8 +154,11 @@
     let Some(req) = request(core, run, task, left) else {
         return Sent::NotStarted;
     };
-    core.counts.task_sent();
+    let flight = Flight {
+        metrics: Some(&core.metrics),
+    };
     let answer = core.minions.call(minion.addr, req, left).await;
+    flight.land();
     judge(answer)
 }
 
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -24,11 +24,11 @@
 use crate::config::Config;
 use crate::control;
 use crate::core::Core;
-use crate::count::Counts;
 use crate::dispatch::Dispatch;
 use crate::peers::Peers;
 use crate::sheets::Sheets;
 use crate::stop::stop;
+use metrics::Metrics;
 
 /// Why a VM could not start.
 #[derive(Debug)]
@@ -67,6 +67,10 @@
     callers: SocketAddr,
     /// Where peers reach it.
     peers: SocketAddr,
+    /// Reads the time line.
+    recorder: Recorder,
+    /// Reads what is counted.
+    metrics: Metrics,
     /// Asks for the planned stop.
     stop: mpsc::Sender<Millis>,
     /// True once stopped.
@@ -114,6 +118,16 @@
         self.peers
     }
 
+    /// Returns the VM's time line.
+    pub fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    /// Returns what the VM counts.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Stops the VM as planned; jobs that have not ended within `wait` are cut
     /// off. It returns once all is handed over and answered.
     pub async fn stop(&self, wait: Millis) {
@@ -160,6 +174,8 @@
         incarnation: core.me.incarnation,
         callers: callers_addr,
         peers: peers_addr,
+        recorder: core.recorder.clone(),
+        metrics: core.metrics.clone(),
         stop: ask,
         stopped,
     };
@@ -186,9 +202,6 @@
 /// The longest wait for connections to end after everything was answered.
 const CLOSE_WAIT: std::time::Duration = std::time::Duration::from_secs(2);
 
-/// The events that a VM remembers.
-const RING_EVENTS: usize = 1 << 16;
-
 fn build<C: Connect, P: Policy>(
     cfg: Config,
     routing: RoutingConfig,
@@ -203,7 +216,7 @@
         vm: cfg.id.clone(),
     };
     let clock = SystemClock::new();
-    let ring = RING_EVENTS;
+    let ring = cfg.ring;
     let recorder = Recorder::new(cfg.id.clone(), me.incarnation, clock.clone(), ring);
     let fleet = Fleet::new(cfg.domain.clone(), routing, policy);
     let dispatch = Dispatch::new(cfg.domain.clone(), fleet, limits, clock.clone());
@@ -234,7 +247,7 @@
         listing: ArcSwapOption::empty(),
         sheets: Sheets::new(cfg.log.retention, recorder.clone()),
         recorder,
-        counts: Counts::default(),
+        metrics: Metrics::new(),
         stage: AtomicU8::new(0),
         me,
         clock,
--- a/components/metrics/src/name.rs
+++ b/components/metrics/src/name.rs
@@ -35,7 +35,7 @@
     /// What is counted. Those that begin with `waste.` are the messages beyond
     /// one request and one answer a task, by cause.
     Count {
-        JobReceived, "jobs.received", "Jobs that arrived from callers.";
+        JobReceived, "jobs.received", "Jobs that arrived from callers or were passed here by peers.";
         JobComplete, "jobs.complete", "Jobs answered completely.";
         JobNotRun, "jobs.not_run", "Jobs failed of which nothing was sent.";
         JobMayHaveRun, "jobs.may_have_run", "Jobs failed of which something may have run.";
@@ -53,9 +53,8 @@
         EventMissed, "timeline.missed", "Events that the time line could not record.";
         WasteNotStarted, "waste.not_started", "Tasks sent that a minion turned away or that never left.";
         WasteResent, "waste.resent", "Tasks sent again after they provably did not start.";
-        WasteCancel, "waste.cancel", "Messages that ended running tasks of jobs that had failed.";
-        WasteLateAnswer, "waste.late_answer", "Answers that came after their job had ended.";
-        WasteProbe, "waste.probe", "Probes of idle connections and of ejected minions.";
+        WasteCancel, "waste.cancel", "Connections closed to end running tasks of jobs that had ended.";
+        WasteProbe, "waste.probe", "Single tasks sent to ejected minions to see whether they recovered.";
         WastePassed, "waste.passed", "Messages to peers for jobs that they own.";
         WasteClaim, "waste.claim", "Appends to the log that claimed keys.";
         WasteBroken, "waste.broken", "Messages refused because they could not be read.";
@@ -84,7 +83,6 @@
     Timing {
         Response, "jobs.response", "From a job's submission to its outcome.";
         TaskRun, "tasks.run", "From a task's sending to its answer.";
-        Claim, "log.claim", "From an append of claims to its answer.";
     }
 }
 
--- a/components/metrics/src/send.rs
+++ b/components/metrics/src/send.rs
@@ -3,12 +3,11 @@
 use std::fmt;
 use std::io;
 use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
-use std::time::Duration;
 
 use cadence::prelude::*;
 use cadence::{BufferedUdpMetricSink, MetricError, StatsdClient};
 
-use crate::{Count, Gauge, Metrics, Timing};
+use crate::{Count, Gauge, Metrics};
 
 /// What every name begins with.
 const PREFIX: &str = "pomelopost";
@@ -65,7 +64,7 @@
         })
     }
 
-    /// Sends the counters' growth and the levels.
+    /// Sends the counters' growth, the times taken and the levels.
     ///
     /// # Errors
     ///
@@ -74,6 +73,10 @@
         for count in Count::ALL {
             self.send_count(*count).map_err(SendError::Metric)?;
         }
+        for (timing, span) in self.metrics.take_times() {
+            let sent = self.client.time(timing.name(), span);
+            sent.map_err(SendError::Metric)?;
+        }
         for gauge in Gauge::ALL {
             let level = self.metrics.gauge(*gauge);
             let sent = self.client.gauge(gauge.name(), level);
@@ -82,16 +85,6 @@
         self.client.flush().map_err(SendError::Metric)
     }
 
-    /// Sends one time taken.
-    ///
-    /// # Errors
-    ///
-    /// Fails when it can't be sent; it is lost then.
-    pub fn time(&self, timing: Timing, span: Duration) -> Result<(), SendError> {
-        let sent = self.client.time(timing.name(), span);
-        sent.map(drop).map_err(SendError::Metric)
-    }
-
     fn send_count(&mut self, count: Count) -> Result<(), MetricError> {
         let now = self.metrics.count(count);
         let sent = &mut self.sent[count as usize];
--- a/components/metrics/src/table.rs
+++ b/components/metrics/src/table.rs
@@ -1,9 +1,10 @@
 //! The table of counters and gauges that all threads share.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
-use crate::{Count, Gauge};
+use crate::{Count, Gauge, Timing};
 
 /// Counters since the process's start and the current levels. Clones share
 /// them.
@@ -20,8 +21,14 @@
     counts: Vec<AtomicU64>,
     /// One level for each of [`Gauge::ALL`].
     gauges: Vec<AtomicU64>,
+    /// Times taken since the last sending.
+    times: Mutex<Vec<(Timing, Duration)>>,
 }
 
+/// The most times kept between two sendings. They are samples: later ones are
+/// left out, and so is one whose thread finds the list busy.
+const TIMES: usize = 4096;
+
 impl Metrics {
     /// Makes a table of zeros.
     pub fn new() -> Metrics {
@@ -29,6 +36,7 @@
         let shared = Shared {
             counts: zeros(Count::ALL.len()),
             gauges: zeros(Gauge::ALL.len()),
+            times: Mutex::default(),
         };
         Metrics {
             shared: Arc::new(shared),
@@ -40,9 +48,19 @@
         self.shared.counts[count as usize].fetch_add(amount, Ordering::Relaxed);
     }
 
-    /// Raises a counter that is kept elsewhere to its value there.
-    pub fn raise(&self, count: Count, value: u64) {
-        self.shared.counts[count as usize].fetch_max(value, Ordering::Relaxed);
+    /// Adds a time taken. It never waits.
+    pub fn time(&self, timing: Timing, span: Duration) {
+        if let Ok(mut times) = self.shared.times.try_lock()
+            && times.len() < TIMES
+        {
+            times.push((timing, span));
+        }
+    }
+
+    /// Takes out the times since the last call.
+    pub fn take_times(&self) -> Vec<(Timing, Duration)> {
+        let times = self.shared.times.lock();
+        std::mem::take(&mut times.unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Sets a level.
--- a/components/settings/src/vm.rs
+++ b/components/settings/src/vm.rs
@@ -136,7 +136,7 @@
         let domain = &config.domain;
         reader.fault("id", format_compact!("{domain}/ and the VM's name"));
     }
-    if config.callers == config.peers {
+    if config.callers == config.peers && config.peers.port() != 0 {
         reader.fault("peers", "another address than that of callers".into());
     }
     if config.peers.ip().is_unspecified() {
--- a/components/timeline/src/recorder.rs
+++ b/components/timeline/src/recorder.rs
@@ -88,6 +88,11 @@
         self.excerpt(found)
     }
 
+    /// Returns how many events were never recorded.
+    pub fn missed(&self) -> u64 {
+        self.shared.ring.missed()
+    }
+
     fn excerpt(&self, found: crate::ring::Found) -> Excerpt {
         let shared = &self.shared;
         Excerpt::new(
--- a/src/cmd/job.rs
+++ b/src/cmd/job.rs
@@ -15,7 +15,7 @@
 
 use crate::cmd::print;
 use crate::error::CommandError;
-use crate::fleet::{Fleet, KEY_HEADER, request};
+use crate::fleet::{Fleet, request};
 use crate::load::fetch;
 use crate::view::Answer;
 
@@ -80,7 +80,7 @@
     let make = || {
         let mut req = request(Method::POST, "/v1/jobs", body.clone());
         if let Ok(key) = HeaderValue::from_str(&key) {
-            req.headers_mut().insert(KEY_HEADER, key);
+            req.headers_mut().insert(entry::KEY_HEADER, key);
         }
         req
     };
--- a/src/error.rs
+++ b/src/error.rs
@@ -55,6 +55,10 @@
     /// A part of the configuration is not there, which is a fault of the
     /// program.
     Part(&'static str),
+    /// The VM could not start.
+    Start(entry::StartError),
+    /// Metrics can't be sent.
+    Statsd(metrics::SendError),
     /// A second signal cut the planned stop short.
     Cut,
     /// The command did its work, and the result is not the good one; it has
@@ -89,6 +93,8 @@
             CommandError::Io(e) => write!(f, "{e}"),
             CommandError::Logs(e) => write!(f, "logs: {e}"),
             CommandError::Part(name) => write!(f, "no configuration of {name} is installed"),
+            CommandError::Start(e) => write!(f, "{e}"),
+            CommandError::Statsd(e) => write!(f, "{e}"),
             CommandError::Cut => write!(f, "stopped at once by a second signal"),
             CommandError::Bad => Ok(()),
         }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -16,9 +16,6 @@
 
 use crate::error::{AskError, CommandError};
 
-/// Where a caller puts the job's key.
-pub const KEY_HEADER: &str = "idempotency-key";
-
 /// Which fleet a command speaks to.
 #[derive(Debug, Clone, Args)]
 pub struct FleetArgs {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,5 @@
 pub mod fleet;
 pub mod load;
 pub mod logs;
+pub mod report;
 pub mod view;
-
-// Linked for their plug-ins' settings, whether or not code here names them.
-use {entry as _, limits as _, metrics as _, routing as _, timeline as _};
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, interval, sleep_until};
 
 use crate::error::{AskError, CommandError};
-use crate::fleet::{Fleet, KEY_HEADER, request};
+use crate::fleet::{Fleet, request};
 use crate::load::{Arrivals, Plan, Planned, Report, Tally};
 use crate::view::{Answer, Tickets};
 
@@ -140,7 +140,7 @@
 ) -> Result<Answer, AskError> {
     let mut req = request(Method::POST, "/v1/jobs", body);
     if let Ok(key) = HeaderValue::from_str(key) {
-        req.headers_mut().insert(KEY_HEADER, key);
+        req.headers_mut().insert(entry::KEY_HEADER, key);
     }
     let reply = fleet.send(addr, req, wait).await?;
     serde_json::from_slice(&reply.body).map_err(|e| match reply.status {
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -31,6 +31,8 @@
 pub fn start(level: LevelFilter) -> Result<(), CommandError> {
     fern::Dispatch::new()
         .level(level)
+        // Settings choose these by themselves.
+        .level_for(EVENTS, LevelFilter::Info)
         // The HTTP library's own debug lines would bury ours.
         .level_for("hyper", level.min(LevelFilter::Info))
         .level_for("hyper_util", level.min(LevelFilter::Info))
