--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -90,6 +90,8 @@
     pub members: membership::Config,
     /// The longest that a planned stop waits for jobs in flight.
     pub stop_wait: Millis,
+    /// How many events the VM remembers.
+    pub ring: usize,
 }
 
 impl Config {
@@ -110,6 +112,7 @@
             server: ServerLimits::default(),
             members: membership::Config::default(),
             stop_wait: Millis(30_000),
+            ring: timeline::Config::default().capacity,
         }
     }
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod count;
 mod dispatch;
 mod drive;
+mod levels;
 mod lookup;
 mod message;
 mod pass;
@@ -26,6 +27,5 @@
 
 pub use api::{BadRequest, KEY_HEADER};
 pub use config::{Config, JobLimits, LogLimits, StopWait};
-pub use count::Counted;
 pub use status::{ChangeStatus, PeerStatus, ServiceStatus, Status};
 pub use vm::{StartError, Vm};
