--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -10,6 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use jobs::{JobSpec, Outcome, Reason};
 use kernel::{JobKey, Ticket};
+use metrics::Count;
 use routing::Policy;
 use serde::Serialize;
 use wire::{BodyError, Connect, Handler};
@@ -124,7 +125,7 @@
 
     /// Counts a malformed request and tells what is wrong with it.
     fn refuse(&self, bad: &BadRequest) -> Response<Full<Bytes>> {
-        self.core.counts.request_refused();
+        self.core.metrics.add(Count::RequestRefused, 1);
         api::write_bad(bad)
     }
 
--- a/components/entry/tests/bad_input.rs
+++ b/components/entry/tests/bad_input.rs
@@ -112,7 +112,7 @@
     let missing = json!([{"id": "a"}, {"payload": 1}]);
     refused(&fleet, &with("tasks", missing), "tasks[1].id").await;
     assert_eq!(fleet.ledger.count(), 0);
-    assert_eq!(fleet.status(0).await["counts"]["bad_requests"], 24);
+    assert_eq!(fleet.status(0).await["counts"]["requests.refused"], 24);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -139,7 +139,7 @@
         assert_eq!(answer["field"], "Idempotency-Key", "{answer}");
     }
     assert_eq!(fleet.ledger.count(), 0);
-    assert_eq!(fleet.status(0).await["counts"]["bad_requests"], 6);
+    assert_eq!(fleet.status(0).await["counts"]["requests.refused"], 6);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -236,5 +236,7 @@
     };
     let (running, ()) = tokio::join!(running, messages);
     assert_eq!(running.0, 200, "{running:?}");
-    assert_eq!(fleet.status(0).await["counts"]["broken"], 24);
+    let counts = fleet.status(0).await["counts"].clone();
+    assert_eq!(counts["waste.broken"], 18);
+    assert_eq!(counts["waste.version"], 6);
 }
