Admission rests on learned run times only, and on slots that can be had

Cause: right after a start a job of 140 tasks of 20 ms was refused on an idle fleet: nothing was learned, the guess of 300 ms a task counted, and only this VM's part of the slots. Change: what is not learned counts as nothing, and while nothing waits all of the domain's slots count.

--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -165,24 +165,37 @@
         Some(refused.retry_after)
     }
 
+    /// Sums up what a job meets. What is not learned yet counts as nothing, so
+    /// that no job is refused on a guess.
     fn demand(&self, spec: &JobSpec) -> Demand {
         let line = self.line(&spec.service);
-        let declared = spec.tasks.iter().filter_map(|t| t.declared).max();
-        let shared = self.fleet.capacity(&spec.service).0 as usize;
-        let part = shared / self.sharers.load(Ordering::Relaxed);
-        let slots = part.max(line.held.load(Ordering::Relaxed));
+        let queued = line.waiting.load(Ordering::Relaxed);
+        let (service, team) = (&spec.service, &spec.team);
         Demand {
-            queued: line.waiting.load(Ordering::Relaxed),
+            queued,
             tasks: spec.tasks.len(),
-            slots: Slots(slots as u32),
-            mean: self.times.mean(&spec.service),
+            slots: self.usable_slots(&line, queued),
+            mean: self.times.learned_mean(service).unwrap_or_default(),
             long: self
                 .times
-                .quantile(&spec.service, &spec.team, LONG, declared),
+                .learned_quantile(service, team, LONG)
+                .unwrap_or_default(),
             left: spec.deadline,
         }
     }
 
+    /// Returns the slots that this VM can count on: all while nothing waits,
+    /// as VMs lend what they don't need; else its part, or what it holds.
+    fn usable_slots(&self, line: &Line<P>, queued: usize) -> Slots {
+        let all = self.fleet.capacity(&line.service);
+        if queued == 0 {
+            return all;
+        }
+        let part = all.0 as usize / self.sharers.load(Ordering::Relaxed);
+        let held = line.held.load(Ordering::Relaxed);
+        Slots(part.max(held) as u32)
+    }
+
     /// Waits for a slot for a task.
     ///
     /// # Errors
--- a/components/limits/src/runtimes.rs
+++ b/components/limits/src/runtimes.rs
@@ -158,15 +158,26 @@
         q: f64,
         declared: Option<Millis>,
     ) -> Millis {
-        let learned = self.read(service, team, |s| s.quantile(q));
+        let learned = self.learned_quantile(service, team, q);
         learned.or(declared).unwrap_or(PRIOR)
     }
 
     /// Estimates the mean run time of all teams' tasks.
     pub fn mean(&self, service: &Service) -> Millis {
-        let entries = self.entries.load();
-        let learned = entries.get(service).and_then(|e| e.all.mean());
-        learned.unwrap_or(PRIOR)
+        self.learned_mean(service).unwrap_or(PRIOR)
+    }
+
+    /// Returns the mean run time of all teams' tasks once enough of them have
+    /// been seen. Refusals rest on this: a service whose jobs were refused on a
+    /// guess would never be learned.
+    pub fn learned_mean(&self, service: &Service) -> Option<Millis> {
+        self.entries.load().get(service)?.all.mean()
+    }
+
+    /// Returns the run time below which the part `q` of the team's tasks lies,
+    /// or of the service's, once enough of them have been seen.
+    pub fn learned_quantile(&self, service: &Service, team: &Team, q: f64) -> Option<Millis> {
+        self.read(service, team, |s| s.quantile(q))
     }
 
     /// Reads the team's sketch, or else the service's.
