--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -91,7 +91,7 @@
         connect: C,
     ) -> Result<Vm, StartError> {
         match routing.policy {
-            PolicyKind::Balanced => start(cfg, routing, limits, connect, Balanced::default()).await,
+            PolicyKind::Balanced => start(cfg, routing, limits, connect, Balanced).await,
             PolicyKind::Random => start(cfg, routing, limits, connect, Random).await,
             PolicyKind::Least => start(cfg, routing, limits, connect, LeastOwn).await,
             PolicyKind::Split => start(cfg, routing, limits, connect, Split).await,
@@ -139,11 +139,13 @@
 }
 
 /// Binds an address that the settings gave under a key.
-async fn bind(key: &'static str, addr: SocketAddr) -> Result<(Server, SocketAddr), StartError> {
+async fn bind(
+    key: &'static str,
+    addr: SocketAddr,
+    limits: ServerLimits,
+) -> Result<(Server, SocketAddr), StartError> {
     let failed = |error| StartError::Bind { key, addr, error };
-    let server = Server::bind(addr, ServerLimits::default())
-        .await
-        .map_err(failed)?;
+    let server = Server::bind(addr, limits).await.map_err(failed)?;
     let bound = server.addr().map_err(failed)?;
     Ok((server, bound))
 }
@@ -155,8 +157,8 @@
     connect: C,
     policy: P,
 ) -> Result<Vm, StartError> {
-    let (callers, callers_addr) = bind("callers", cfg.callers).await?;
-    let (peers, peers_addr) = bind("peers", cfg.peers).await?;
+    let (callers, callers_addr) = bind("callers", cfg.callers, cfg.server).await?;
+    let (peers, peers_addr) = bind("peers", cfg.peers, cfg.server).await?;
     let core = Arc::new(build(
         cfg,
         routing,
@@ -230,7 +232,7 @@
         callers,
         peers,
     };
-    let mut members = Membership::new(clock.now(), member, membership::Config::default(), rng);
+    let mut members = Membership::new(clock.now(), member, cfg.members, rng);
     let view = members.view(clock.now());
     Core {
         view: ArcSwap::new(view),
--- a/components/membership/src/beat.rs
+++ b/components/membership/src/beat.rs
@@ -6,7 +6,7 @@
 use crate::vm::{Presence, Vm};
 
 /// The most VMs that one heartbeat tells of.
-pub const MAX_VM_NEWS: usize = 3;
+pub const MAX_VM_NEWS: usize = 2;
 
 /// The most leaving minions that one heartbeat tells of.
 pub const MAX_MINION_NEWS: usize = 64;
@@ -79,4 +79,6 @@
     pub incarnation: Incarnation,
     /// Who took over what it owned, if it stopped as planned.
     pub successor: Option<Incarnation>,
+    /// How much longer that is remembered.
+    pub left: Millis,
 }
--- a/components/membership/src/leaving.rs
+++ b/components/membership/src/leaving.rs
@@ -17,6 +17,13 @@
 /// How long a listing speaks for itself when no newer one comes.
 const LISTING_VALID: Millis = Millis(600_000);
 
+/// The part of the usual time by which a mark must be extended to be told again,
+/// as a divisor.
+const RENEWED_BY: u64 = 3;
+
+/// In how many messages an extended mark is told to VMs that have it.
+const RENEWED_TELLS: u32 = 3;
+
 /// Until when a minion counts as leaving.
 #[derive(Debug, Clone, Copy)]
 struct Until(Timestamp);
@@ -78,6 +85,9 @@
         }
         let old = self.marks.get(&minion).map(|u| u.0);
         let new = old.map_or(until, |o| o.max(until));
+        if old.is_some_and(|o| new.since(o).0 >= self.hold.0 / RENEWED_BY) {
+            self.marks.renew(&minion);
+        }
         let changed = self.marks.put(minion, Until(new));
         if self.marks.len() > MAX_LEAVING {
             self.drop_soonest();
@@ -108,13 +118,21 @@
         !over.is_empty()
     }
 
-    /// Returns some to tell, those of a domain first.
-    pub(crate) fn batch(&mut self, now: Timestamp, max: usize, near: &Domain) -> Vec<MinionNews> {
+    /// Returns some to tell, those of a domain first. A receiver that has the
+    /// same set gets only those whose time was lately extended.
+    pub(crate) fn batch(
+        &mut self,
+        now: Timestamp,
+        max: usize,
+        near: &Domain,
+        same: bool,
+    ) -> Vec<MinionNews> {
+        let below = if same { RENEWED_TELLS } else { u32::MAX };
         let is_near = |minion: &MinionId| {
             let rest = minion.as_str().strip_prefix(near.as_str());
             rest.is_some_and(|r| r.starts_with('/'))
         };
-        let some = self.marks.batch(max, is_near).into_iter();
+        let some = self.marks.batch(max, below, is_near).into_iter();
         let news = some.map(|(minion, until)| MinionNews {
             minion,
             left: until.0.since(now),
@@ -125,8 +143,11 @@
     fn extend_listed(&mut self, now: Timestamp) -> bool {
         let (listed, at) = std::mem::take(&mut self.listed);
         let mut changed = false;
+        let half = now.after(Millis(self.hold.0 / 2));
         for minion in &listed {
-            changed |= self.mark(now, minion.clone(), self.hold);
+            if self.marks.get(minion).is_none_or(|until| until.0 < half) {
+                changed |= self.mark(now, minion.clone(), self.hold);
+            }
         }
         self.listed = (listed, at);
         changed
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod schedule;
 mod spread;
+mod tick;
 mod view;
 mod vm;
 
--- a/components/routing/src/fleet.rs
+++ b/components/routing/src/fleet.rs
@@ -5,10 +5,11 @@
 
 use kernel::{Cores, Domain, MinionId, Service, Slots, Timestamp, VmId};
 
-use crate::bits::Mask;
+use crate::bits::{AtomicBits, Mask};
 use crate::config::RoutingConfig;
 use crate::digest::Digest;
 use crate::health::Mode;
+use crate::held::MAX_HELD;
 use crate::minion::{MinionInfo, MinionStatus, Node};
 use crate::policy::{Load, Policy};
 use crate::shared::Shared;
@@ -80,12 +81,18 @@
         self.shared.refresh_due(now);
         let table = self.shared.table.load();
         let offer = offer(&table, service, cores)?;
-        let ask = Ask { cores, avoid, now };
-        let local = self.pick(&table, &offer.local, &ask);
+        let ask = Ask {
+            cores,
+            avoid,
+            now,
+            safe: false,
+        };
+        let local = self.pick_local(&table, &offer.local, &ask);
         let node = match local {
             Some(node) => node,
             None => self.spill(&table, offer, &ask).ok_or(Unavailable::Full)?,
         };
+        self.shared.budget.earn();
         let demand = offer.demand.clone();
         Ok(Slot::new(self.shared.clone(), node, demand, now))
     }
@@ -104,6 +111,13 @@
         self.shared.digest(now)
     }
 
+    /// Tells whether a digest should go out now and not wait for the next
+    /// heartbeat, because leases would go where tasks wait. Asked whenever
+    /// tasks wait or a digest came in, it is true at most 40 times a second.
+    pub fn urgent(&self, now: Timestamp) -> bool {
+        self.shared.urgent(now)
+    }
+
     /// Takes in another VM's digest.
     pub fn absorb(&self, from: &VmId, digest: &Digest, now: Timestamp) {
         self.shared.absorb(from, digest, now);
@@ -146,20 +160,31 @@
         None
     }
 
+    /// Picks a minion of the home domain: on soft lease first, else where the
+    /// budget allows to risk a refusal.
+    fn pick_local(&self, table: &Table, mask: &Mask, ask: &Ask) -> Option<Arc<Node>> {
+        let safe = Ask { safe: true, ..*ask };
+        let leased = self.pick(table, mask, &safe);
+        if leased.is_some() || !self.shared.budget.allows() {
+            return leased;
+        }
+        self.pick(table, mask, ask)
+    }
+
     /// Picks a minion of the set and takes a place on it.
     fn pick(&self, table: &Table, mask: &Mask, ask: &Ask) -> Option<Arc<Node>> {
         if P::CHOICES == usize::MAX {
             return self.scan(table, mask, ask);
         }
         for _ in 0..ROUNDS {
-            let open = mask.count(&table.open);
+            let open = mask.count(ask.bits(table));
             if open == 0 {
                 return None;
             }
             let Some(best) = self.sample(table, mask, open, ask) else {
                 continue;
             };
-            if self.take(&table.nodes[best], ask.now) {
+            if self.take(&table.nodes[best], ask) {
                 return Some(table.nodes[best].clone());
             }
         }
@@ -171,7 +196,7 @@
         let mut best = None;
         for _ in 0..P::CHOICES.min(open as usize) {
             let nth = self.draw(open);
-            let Some(at) = mask.nth(&table.open, nth) else {
+            let Some(at) = mask.nth(ask.bits(table), nth) else {
                 continue;
             };
             let Some(cost) = self.cost(table, at, ask) else {
@@ -188,13 +213,9 @@
     /// place on the best.
     fn scan(&self, table: &Table, mask: &Mask, ask: &Ask) -> Option<Arc<Node>> {
         loop {
-            let open = mask.count(&table.open);
-            let from = self.draw(open.max(1));
+            let from = self.draw(u32::MAX);
             let mut best = None;
-            for nth in (from..open).chain(0..from) {
-                let Some(at) = mask.nth(&table.open, nth) else {
-                    continue;
-                };
+            for at in mask.walk(ask.bits(table), from) {
                 let Some(cost) = self.cost(table, at, ask) else {
                     continue;
                 };
@@ -203,7 +224,7 @@
                 }
             }
             let (_, at) = best?;
-            if self.take(&table.nodes[at], ask.now) {
+            if self.take(&table.nodes[at], ask) {
                 return Some(table.nodes[at].clone());
             }
         }
@@ -216,54 +237,55 @@
         if node.info.cores < ask.cores || ask.avoid.contains(&node.info.id) {
             return None;
         }
-        let load = self.load(node);
-        if self.usable(node, &load, ask.now) {
+        let load = self.load(node, node.state.held.count());
+        if self.usable(node, &load, ask) {
             return Some(self.policy.cost(&load));
         }
         // A slot freed between the look and the strike would be lost, so look
         // again.
-        table.open.clear(at);
-        if self.usable(node, &self.load(node), ask.now) {
-            table.open.set(at);
+        ask.bits(table).clear(at);
+        if self.usable(node, &self.load(node, node.state.held.count()), ask) {
+            ask.bits(table).set(at);
         }
         None
     }
 
     /// Takes a place on a minion, unless others were faster.
-    fn take(&self, node: &Node, now: Timestamp) -> bool {
-        let own = &node.state.own;
+    fn take(&self, node: &Node, ask: &Ask) -> bool {
         loop {
-            let load = self.load(node);
-            if !self.usable(node, &load, now) {
+            let seen = node.state.held.read();
+            let load = self.load(node, seen.count());
+            if !self.usable(node, &load, ask) {
                 return false;
             }
-            let swap =
-                own.compare_exchange(load.own, load.own + 1, Ordering::SeqCst, Ordering::SeqCst);
-            if swap.is_ok() {
-                node.state.starts.fetch_add(now.0, Ordering::SeqCst);
+            if node.state.held.add(seen, ask.now) {
                 return true;
             }
         }
     }
 
     /// Tells whether the minion may get another task.
-    fn usable(&self, node: &Node, load: &Load, now: Timestamp) -> bool {
-        if load.own >= load.slots || node.state.closed.load(Ordering::Relaxed) > now.0 {
+    fn usable(&self, node: &Node, load: &Load, ask: &Ask) -> bool {
+        if load.own >= load.slots || node.state.closed.load(Ordering::Relaxed) > ask.now.0 {
             return false;
         }
         match node.state.mode() {
+            Mode::Normal if ask.safe => self.policy.safe(load),
             Mode::Normal => self.policy.open(load),
-            Mode::Suspect | Mode::Ejected => load.own == 0,
+            // A probe, too, needs a slot on lease, so that it is not refused.
+            Mode::Suspect | Mode::Ejected => load.own == 0 && (!ask.safe || self.policy.safe(load)),
         }
     }
 
     /// Reads the load of a minion.
-    fn load(&self, node: &Node) -> Load {
+    fn load(&self, node: &Node, own: u32) -> Load {
         Load {
-            own: node.state.own.load(Ordering::SeqCst),
+            own,
             peers: node.state.peers.load(Ordering::Relaxed),
             share: self.shared.share(node),
-            slots: node.info.slots.0,
+            lease: node.state.lease.load(Ordering::Relaxed),
+            reported: node.state.reported.load(Ordering::Relaxed),
+            slots: node.info.slots.0.min(MAX_HELD),
         }
     }
 
@@ -285,6 +307,15 @@
     avoid: &'a [MinionId],
     /// The time.
     now: Timestamp,
+    /// Whether only slots on soft lease will do.
+    safe: bool,
+}
+
+impl Ask<'_> {
+    /// Returns the hint of where such slots are.
+    fn bits<'t>(&self, table: &'t Table) -> &'t AtomicBits {
+        if self.safe { &table.safe } else { &table.open }
+    }
 }
 
 /// Finds a service's minions.
