--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,6 +7,7 @@
 use crate::cmd::completions::CompletionsArgs;
 use crate::cmd::job::JobCommand;
 use crate::cmd::load::LoadArgs;
+use crate::cmd::replay::{ReplayArgs, SoakArgs};
 use crate::cmd::status::StatusArgs;
 use crate::cmd::timeline::TimelineArgs;
 use crate::fleet::FleetArgs;
@@ -54,6 +55,12 @@
     Timeline(TimelineArgs),
     /// Send an open-loop load and measure responses from their intended start.
     Load(LoadArgs),
+    /// Run a short morning on a fleet inside this process.
+    Demo,
+    /// Play a trace on a fleet inside this process.
+    Replay(ReplayArgs),
+    /// Play random traces on a fleet inside this process.
+    Soak(SoakArgs),
     /// Write completions for a shell.
     Completions(CompletionsArgs),
     /// Write the man page.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod job;
 pub mod load;
 pub mod man;
+pub mod replay;
 pub mod serve;
 pub mod status;
 pub mod timeline;
@@ -23,6 +24,9 @@
     match ctl.command {
         Command::Completions(args) => completions::run(&args),
         Command::Man => man::run(),
+        Command::Demo => replay::demo().await,
+        Command::Replay(args) => replay::run(&args).await,
+        Command::Soak(args) => replay::soak(&args).await,
         Command::Job(command) => job::run(&Fleet::find(&ctl.fleet).await?, command).await,
         Command::Status(args) => status::run(&Fleet::find(&ctl.fleet).await?, &args).await,
         Command::Timeline(args) => timeline::run(&Fleet::find(&ctl.fleet).await?, args).await,
--- a/src/error.rs
+++ b/src/error.rs
@@ -55,6 +55,10 @@
     /// A part of the configuration is not there, which is a fault of the
     /// program.
     Part(&'static str),
+    /// The trace is malformed.
+    Trace(PathBuf, replay::TraceError),
+    /// The embedded fleet could not start.
+    Launch(replay::LaunchError),
     /// The VM could not start.
     Start(entry::StartError),
     /// Metrics can't be sent.
@@ -70,9 +74,10 @@
     /// Returns the exit code: 2 for bad settings or arguments, else 1.
     pub fn code(&self) -> ExitCode {
         match self {
-            CommandError::Settings(_) | CommandError::NoFleet | CommandError::File(..) => {
-                ExitCode::from(2)
-            }
+            CommandError::Settings(_)
+            | CommandError::NoFleet
+            | CommandError::File(..)
+            | CommandError::Trace(..) => ExitCode::from(2),
             _ => ExitCode::FAILURE,
         }
     }
@@ -93,6 +98,8 @@
             CommandError::Io(e) => write!(f, "{e}"),
             CommandError::Logs(e) => write!(f, "logs: {e}"),
             CommandError::Part(name) => write!(f, "no configuration of {name} is installed"),
+            CommandError::Trace(path, e) => write!(f, "{}: {e}", path.display()),
+            CommandError::Launch(e) => write!(f, "{e}"),
             CommandError::Start(e) => write!(f, "{e}"),
             CommandError::Statsd(e) => write!(f, "{e}"),
             CommandError::Cut => write!(f, "stopped at once by a second signal"),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -121,3 +121,26 @@
     assert!(page.contains("Exit codes"));
     assert!(page.contains("timeline"));
 }
+
+#[test]
+fn demo() {
+    let output = pomeloctl(&["demo"]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let told = stdout(&output);
+    assert_eq!(told.matches(": complete after").count(), 4, "{told}");
+    assert!(
+        told.lines()
+            .last()
+            .unwrap()
+            .contains(r#""double_starts":0"#),
+        "{told}"
+    );
+}
+
+#[test]
+fn bad_trace() {
+    let path = settings_file("bad.jsonl", "# fine\n{\"at_ms\":1,\"dance\":{}}\n");
+    let output = pomeloctl(&["replay", path.to_str().unwrap()]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(stderr(&output).contains("line 2"), "{}", stderr(&output));
+}
