--- a/components/entry/src/pass.rs
+++ b/components/entry/src/pass.rs
@@ -12,7 +12,6 @@
 use hyper::{Request, StatusCode};
 use jobs::{JobSpec, Outcome, Owner, Reason};
 use kernel::{Incarnation, Millis};
-use metrics::Count;
 use routing::Policy;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -23,6 +22,7 @@
 use crate::core::Core;
 use crate::message::{AWAIT_PATH, Ask, PASS_PATH, POLL_WAIT, Pass, PassReply};
 use crate::submit::{Place, locate};
+use metrics::Count;
 
 /// How long a peer may take over the wait that it was asked for.
 const GRACE: Duration = Duration::from_millis(500);
--- a/components/entry/tests/bad_input.rs
+++ b/components/entry/tests/bad_input.rs
@@ -236,7 +236,7 @@
     };
     let (running, ()) = tokio::join!(running, messages);
     assert_eq!(running.0, 200, "{running:?}");
-    let status = fleet.status(0).await;
-    assert_eq!(status["counts"]["waste.broken"], 18);
-    assert_eq!(status["counts"]["waste.version"], 6);
+    let counts = fleet.status(0).await["counts"].clone();
+    assert_eq!(counts["waste.broken"], 18);
+    assert_eq!(counts["waste.version"], 6);
 }
--- a/components/metrics/src/name.rs
+++ b/components/metrics/src/name.rs
@@ -35,8 +35,8 @@
     /// What is counted. Those that begin with `waste.` are the messages beyond
     /// one request and one answer a task, by cause.
     Count {
+        RequestRefused, "requests.refused", "Requests of callers refused as malformed.";
         JobReceived, "jobs.received", "Jobs that arrived from callers or were passed here by peers.";
-        RequestRefused, "requests.refused", "Callers' requests refused as malformed.";
         JobComplete, "jobs.complete", "Jobs answered completely.";
         JobNotRun, "jobs.not_run", "Jobs failed of which nothing was sent.";
         JobMayHaveRun, "jobs.may_have_run", "Jobs failed of which something may have run.";
