pomeloctl sheet check, show and publish

Change: src/cmd/sheet.rs. A change is made against the sheet in force, accepted only once read back from the log, looked for by its id after a lost answer and never appended twice; then each VM is asked until all have it, and those that lag are named.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -8,6 +8,7 @@
 use crate::cmd::job::JobCommand;
 use crate::cmd::load::LoadArgs;
 use crate::cmd::replay::{ReplayArgs, SoakArgs};
+use crate::cmd::sheet::SheetCommand;
 use crate::cmd::status::StatusArgs;
 use crate::cmd::timeline::TimelineArgs;
 use crate::fleet::FleetArgs;
@@ -46,6 +47,9 @@
 /// What the operators' tool can do.
 #[derive(Debug, Subcommand)]
 pub enum Command {
+    /// Check, show or publish the planners' sheet.
+    #[command(subcommand)]
+    Sheet(SheetCommand),
     /// Submit, show or cancel a job.
     #[command(subcommand)]
     Job(JobCommand),
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod man;
 pub mod replay;
 pub mod serve;
+pub mod sheet;
 pub mod status;
 pub mod timeline;
 
@@ -24,6 +25,7 @@
     match ctl.command {
         Command::Completions(args) => completions::run(&args),
         Command::Man => man::run(),
+        Command::Sheet(command) => sheet::run(&ctl.fleet, command).await,
         Command::Demo => replay::demo().await,
         Command::Replay(args) => replay::run(&args).await,
         Command::Soak(args) => replay::soak(&args).await,
--- a/src/error.rs
+++ b/src/error.rs
@@ -59,6 +59,20 @@
     Trace(PathBuf, replay::TraceError),
     /// The embedded fleet could not start.
     Launch(replay::LaunchError),
+    /// The sheet has faults.
+    Sheet(PathBuf, Vec<sheet::RowFault>),
+    /// The command needs the platform's address.
+    NoPlatform,
+    /// A record can't be written.
+    Json(serde_json::Error),
+    /// The log did not take the change.
+    Append(platform::AppendError),
+    /// The log can't be read.
+    Read(platform::ReadError),
+    /// The change was refused.
+    Refused(sheet::Refusal),
+    /// The change was not found in the log in time.
+    Undecided,
     /// The VM could not start.
     Start(entry::StartError),
     /// Metrics can't be sent.
@@ -76,6 +90,8 @@
         match self {
             CommandError::Settings(_)
             | CommandError::NoFleet
+            | CommandError::NoPlatform
+            | CommandError::Sheet(..)
             | CommandError::File(..)
             | CommandError::Trace(..) => ExitCode::from(2),
             _ => ExitCode::FAILURE,
@@ -100,6 +116,17 @@
             CommandError::Part(name) => write!(f, "no configuration of {name} is installed"),
             CommandError::Trace(path, e) => write!(f, "{}: {e}", path.display()),
             CommandError::Launch(e) => write!(f, "{e}"),
+            CommandError::Sheet(path, faults) => faults
+                .iter()
+                .try_for_each(|fault| writeln!(f, "{}: {fault}", path.display())),
+            CommandError::NoPlatform => write!(f, "expected --platform"),
+            CommandError::Json(e) => write!(f, "{e}"),
+            CommandError::Append(e) => write!(f, "{e}"),
+            CommandError::Read(e) => write!(f, "{e}"),
+            CommandError::Refused(refusal) => write!(f, "refused: {refusal}"),
+            CommandError::Undecided => {
+                write!(f, "undecided: the change was not found in the log in time")
+            }
             CommandError::Start(e) => write!(f, "{e}"),
             CommandError::Statsd(e) => write!(f, "{e}"),
             CommandError::Cut => write!(f, "stopped at once by a second signal"),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -144,3 +144,33 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(stderr(&output).contains("line 2"), "{}", stderr(&output));
 }
+
+#[test]
+fn bad_sheet() {
+    let text = "what,name,where,amount\nservice,quote,a,-1\nteam,t1,*,many\n";
+    let path = settings_file("bad.csv", text);
+    let output = pomeloctl(&["sheet", "check", path.to_str().unwrap()]);
+    assert_eq!(output.status.code(), Some(2));
+    assert_eq!(
+        stderr(&output).trim().lines().count(),
+        2,
+        "{}",
+        stderr(&output)
+    );
+    let publish = [
+        "--platform",
+        "127.0.0.1:1",
+        "sheet",
+        "publish",
+        path.to_str().unwrap(),
+    ];
+    assert_eq!(pomeloctl(&publish).status.code(), Some(2));
+}
+
+#[test]
+fn sheet_shown() {
+    let text = "what,name,where,amount\nteam,t1,*,8\nservice,quote,a,24\n";
+    let path = settings_file("good.csv", text);
+    let shown = stdout(&pomeloctl(&["sheet", "show", path.to_str().unwrap()]));
+    assert!(shown.contains("service,quote,a,24"), "{shown}");
+}
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -36,7 +36,7 @@
     /// Where it serves callers.
     addr: SocketAddr,
     /// The platform.
-    _platform: PlatformStandin,
+    platform: PlatformStandin,
     /// The minion.
     _minion: MinionStandin,
 }
@@ -74,7 +74,7 @@
             lines,
             read: Vec::new(),
             addr: "127.0.0.1:0".parse().unwrap(),
-            _platform: platform,
+            platform,
             _minion: minion,
         };
         let line = site.until(|l| has(l, "message", "serves callers at")).await;
@@ -315,3 +315,20 @@
         assert!(out(&output).contains(wanted), "{command}: {output:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sheet_published() {
+    let site = Site::start("sheet").await;
+    let platform = site.platform.addr().to_string();
+    for (offset, amount) in [(1, 24), (2, 16)] {
+        let file = target("morning.csv");
+        let text = format!("what,name,where,amount\nservice,quote,a,{amount}\nteam,t1,*,8\n");
+        std::fs::write(&file, text).unwrap();
+        let file = file.to_str().unwrap();
+        let publish = ["--platform", &platform, "sheet", "publish", file];
+        let output = site.pomeloctl(&publish).await;
+        assert_eq!(output.status.code(), Some(0), "{output:?}");
+        let wanted = format!("accepted at offset {offset}\nin force on all 1 VMs\n");
+        assert_eq!(out(&output), wanted);
+    }
+}
