--- a/src/error.rs
+++ b/src/error.rs
@@ -55,6 +55,24 @@
     /// A part of the configuration is not there, which is a fault of the
     /// program.
     Part(&'static str),
+    /// The trace is malformed.
+    Trace(PathBuf, replay::TraceError),
+    /// The embedded fleet could not start.
+    Launch(replay::LaunchError),
+    /// The sheet has faults.
+    Sheet(PathBuf, Vec<sheet::RowFault>),
+    /// The command needs the platform's address.
+    NoPlatform,
+    /// A record can't be written.
+    Json(serde_json::Error),
+    /// The log did not take the change.
+    Append(platform::AppendError),
+    /// The log can't be read.
+    Read(platform::ReadError),
+    /// The change was refused.
+    Refused(sheet::Refusal),
+    /// The change was not found in the log in time.
+    Undecided,
     /// The VM could not start.
     Start(entry::StartError),
     /// Metrics can't be sent.
@@ -70,9 +88,12 @@
     /// Returns the exit code: 2 for bad settings or arguments, else 1.
     pub fn code(&self) -> ExitCode {
         match self {
-            CommandError::Settings(_) | CommandError::NoFleet | CommandError::File(..) => {
-                ExitCode::from(2)
-            }
+            CommandError::Settings(_)
+            | CommandError::NoFleet
+            | CommandError::NoPlatform
+            | CommandError::Sheet(..)
+            | CommandError::File(..)
+            | CommandError::Trace(..) => ExitCode::from(2),
             _ => ExitCode::FAILURE,
         }
     }
@@ -93,6 +114,19 @@
             CommandError::Io(e) => write!(f, "{e}"),
             CommandError::Logs(e) => write!(f, "logs: {e}"),
             CommandError::Part(name) => write!(f, "no configuration of {name} is installed"),
+            CommandError::Trace(path, e) => write!(f, "{}: {e}", path.display()),
+            CommandError::Launch(e) => write!(f, "{e}"),
+            CommandError::Sheet(path, faults) => faults
+                .iter()
+                .try_for_each(|fault| writeln!(f, "{}: {fault}", path.display())),
+            CommandError::NoPlatform => write!(f, "expected --platform"),
+            CommandError::Json(e) => write!(f, "{e}"),
+            CommandError::Append(e) => write!(f, "{e}"),
+            CommandError::Read(e) => write!(f, "{e}"),
+            CommandError::Refused(refusal) => write!(f, "refused: {refusal}"),
+            CommandError::Undecided => {
+                write!(f, "undecided: the change was not found in the log in time")
+            }
             CommandError::Start(e) => write!(f, "{e}"),
             CommandError::Statsd(e) => write!(f, "{e}"),
             CommandError::Cut => write!(f, "stopped at once by a second signal"),
