--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -152,8 +152,10 @@
         }
         // Answers first: whoever finds the window finds them too.
         self.core.table.adopt(left.kept, self.core.clock.now());
-        self.core.windows.adopt(left.windows);
-        write(&HandOverReply::Taken)
+        match self.core.windows.adopt(left.windows) {
+            true => write(&HandOverReply::Taken),
+            false => write(&HandOverReply::Stopping),
+        }
     }
 
     /// Reads a message, or answers with the refusal that it gets.
--- a/components/entry/src/task.rs
+++ b/components/entry/src/task.rs
@@ -25,6 +25,15 @@
 /// The longest such pause.
 const PAUSE_MAX: Duration = Duration::from_millis(100);
 
+/// The quantile of run times that counts as long.
+const LONG: f64 = 0.95;
+
+/// How many long run times a task may take before its connection is suspected.
+const OVERDUE_FACTOR: u32 = 2;
+
+/// The least time before a connection is suspected.
+const OVERDUE_MIN: Duration = Duration::from_millis(100);
+
 /// The minions remembered as having turned a task away.
 const AVOID: usize = 8;
 
@@ -132,8 +141,32 @@
         return Sent::NotStarted;
     };
     core.counts.task_sent();
-    let answer = core.minions.call(minion.addr, req, left).await;
-    judge(answer)
+    let call = core.minions.call(minion.addr, req, left);
+    judge(watch(core, run, task, minion, call).await)
+}
+
+/// Waits for an answer. A task that takes far longer than usual may be on a
+/// connection that has gone silent, so the idle ones beside it are not used
+/// any more. The task itself is waited for, as it may well be running.
+async fn watch<C: Connect, P: Policy>(
+    core: &Core<C, P>,
+    run: &Run,
+    task: &TaskSpec,
+    minion: &MinionInfo,
+    call: impl Future<Output = Result<Reply, CallError>>,
+) -> Result<Reply, CallError> {
+    let (service, team) = (&run.spec.service, &run.spec.team);
+    let times = &core.dispatch.times;
+    let usual = times.quantile(service, team, LONG, task.declared);
+    let overdue = OVERDUE_MIN.max(usual.duration() * OVERDUE_FACTOR);
+    let mut call = std::pin::pin!(call);
+    match tokio::time::timeout(overdue, call.as_mut()).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            core.minions.forget(minion.addr);
+            call.await
+        }
+    }
 }
 
 fn request<C: Connect, P: Policy>(
--- a/components/jobs/src/window.rs
+++ b/components/jobs/src/window.rs
@@ -3,6 +3,7 @@
 //! remembered to refuse a second start doesn't grow for ever.
 
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use kernel::{HashMap, Incarnation, Ticket};
@@ -121,6 +122,8 @@
     span: u64,
     /// The windows by the incarnation that minted.
     all: Mutex<HashMap<Incarnation, Window>>,
+    /// True once they were handed over; changed under the lock only.
+    closed: AtomicBool,
 }
 
 impl Windows {
@@ -132,6 +135,7 @@
             me,
             span,
             all: Mutex::new(all),
+            closed: AtomicBool::new(false),
         }
     }
 
@@ -184,7 +188,10 @@
     /// Takes all windows out, for a successor. From here on this VM answers
     /// for none, so that no ticket ever has two owners.
     pub fn hand_over(&self) -> Vec<WindowState> {
-        let windows = std::mem::take(&mut *self.lock());
+        let mut all = self.lock();
+        self.closed.store(true, Ordering::SeqCst);
+        let windows = std::mem::take(&mut *all);
+        drop(all);
         let state = |(owner, w): (Incarnation, Window)| WindowState {
             owner,
             floor: w.floor,
@@ -194,9 +201,13 @@
         windows.into_iter().map(state).collect()
     }
 
-    /// Takes over the windows of a VM that has stopped.
-    pub fn adopt(&self, states: Vec<WindowState>) {
+    /// Takes over the windows of a VM that has stopped. It answers false, and
+    /// takes none, if this VM has handed its own over meanwhile.
+    pub fn adopt(&self, states: Vec<WindowState>) -> bool {
         let mut all = self.lock();
+        if self.closed.load(Ordering::SeqCst) {
+            return false;
+        }
         for state in states {
             let window = Window {
                 floor: state.floor,
@@ -206,6 +217,7 @@
             };
             all.entry(state.owner).or_insert(window);
         }
+        true
     }
 
     /// Returns the incarnations whose tickets this VM answers for.
--- a/components/jobs/tests/windows.rs
+++ b/components/jobs/tests/windows.rs
@@ -52,6 +52,16 @@
     assert_eq!(new.take(tickets[1]), Some(Judged::Used));
 }
 
+#[test]
+fn closed_refuses() {
+    let first = Windows::new(incarnation(1), 1000);
+    let second = Windows::new(incarnation(2), 1000);
+    first.mint(1);
+    second.hand_over();
+    assert!(!second.adopt(first.hand_over()));
+    assert!(!second.holds(incarnation(1)));
+}
+
 proptest! {
     #[test]
     fn fresh_once(steps in proptest::collection::vec((0u64..300, any::<bool>()), 1..400)) {
