--- a/components/entry/src/task.rs
+++ b/components/entry/src/task.rs
@@ -99,7 +99,7 @@
                 held.finish(Finish::Lost, core.now());
                 core.minions.forget(minion.addr);
                 note(core, run, task, &minion, EventKind::TaskLost);
-                return Err(Reason::ConnectionLost(task.id.clone()));
+                return Err(lost(run, task));
             }
             Sent::NotStarted => {
                 run.clear();
@@ -119,6 +119,15 @@
     }
 }
 
+/// Tells why a task that was sent got no answer. No answer by the deadline says
+/// nothing of the connection.
+fn lost(run: &Run, task: &TaskSpec) -> Reason {
+    match Instant::now() >= run.until {
+        true => Reason::Deadline,
+        false => Reason::ConnectionLost(task.id.clone()),
+    }
+}
+
 fn note<C: Connect, P: Policy>(
     core: &Core<C, P>,
     run: &Run,
--- a/components/entry/tests/silence.rs
+++ b/components/entry/tests/silence.rs
@@ -52,7 +52,8 @@
         fleet.until_started("lost", 2).await;
         fleet.net.silence(fleet.minions[0].addr());
     };
-    let lost = fleet.post(0, "lost", &job(&[300, 300], 3000));
+    let body = job(&[300, 300], 3000);
+    let lost = fleet.post(0, "lost", &body);
     let (lost, ()) = tokio::join!(lost, silence);
     assert_eq!((lost.0, &lost.1["ran"]), (504, &"maybe".into()), "{lost:?}");
     assert_eq!(fleet.submit(0, "lost", &[300, 300]).await, lost);
