A planned stop waits for callers whose jobs run at another VM

Cause: only jobs of the VM's own table were waited for, so a caller whose job had been passed to its owner was cut off two seconds after the rest. Passed submissions are counted now; at the stop's deadline they are answered "unknown", owner_away. waits_elsewhere failed before (connection broken). The wait for the owner's next word ends with the job's deadline.

--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -17,6 +17,7 @@
 use crate::config::Config;
 use crate::count::Counts;
 use crate::dispatch::Dispatch;
+use crate::passing::Passing;
 use crate::run::Run;
 use crate::sheets::Sheets;
 
@@ -63,6 +64,8 @@
     pub view: ArcSwap<View>,
     /// The sheet in force.
     pub sheets: Sheets,
+    /// The submissions that wait for another VM.
+    pub passing: Passing,
     /// The time line.
     pub recorder: Recorder,
     /// What is counted.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod lookup;
 mod message;
 mod pass;
+mod passing;
 mod peers;
 mod run;
 mod sheets;
--- a/components/entry/src/pass.rs
+++ b/components/entry/src/pass.rs
@@ -113,7 +113,7 @@
     loop {
         let answer = match accepted {
             false => send_pass(core, target, addr, spec, until).await,
-            true => send_await(core, target, addr, spec).await,
+            true => send_await(core, target, addr, spec, until).await,
         };
         match answer {
             Ok(PassReply::Ended(outcome)) => return outcome,
@@ -147,14 +147,14 @@
     spec.deadline = Millis((left.as_millis() as u64).max(1));
     let pass = Pass { target, spec };
     core.counts.message_passed();
-    ask(
-        &core.peers,
-        addr,
-        PASS_PATH,
-        &pass,
-        POLL_WAIT.duration() + GRACE,
-    )
-    .await
+    ask(&core.peers, addr, PASS_PATH, &pass, patience(until)).await
+}
+
+/// Returns the longest wait for the owner's next word: it speaks at least once
+/// in [`POLL_WAIT`], and at the job's deadline.
+fn patience(until: Instant) -> Duration {
+    let left = until.saturating_duration_since(Instant::now());
+    POLL_WAIT.duration().min(left) + GRACE
 }
 
 async fn send_await<C: Connect, P: Policy>(
@@ -162,18 +162,12 @@
     target: Incarnation,
     addr: SocketAddr,
     spec: &JobSpec,
+    until: Instant,
 ) -> Result<PassReply, PeerError> {
     let ask_for = Ask {
         target,
         key: spec.key.clone(),
     };
     core.counts.message_passed();
-    ask(
-        &core.peers,
-        addr,
-        AWAIT_PATH,
-        &ask_for,
-        POLL_WAIT.duration() + GRACE,
-    )
-    .await
+    ask(&core.peers, addr, AWAIT_PATH, &ask_for, patience(until)).await
 }
--- a/components/entry/src/stop.rs
+++ b/components/entry/src/stop.rs
@@ -51,8 +51,9 @@
 }
 
 async fn finish_jobs<C: Connect, P: Policy>(core: &Core<C, P>, until: Instant) {
-    while !core.table.running().is_empty() {
+    while !core.table.running().is_empty() || core.passing.count() > 0 {
         if Instant::now() > until {
+            core.passing.cut();
             for run in core.table.running() {
                 run.cut(Reason::Stopping);
             }
--- a/components/entry/src/submit.rs
+++ b/components/entry/src/submit.rs
@@ -89,7 +89,13 @@
         match place_of(core, &spec.key) {
             Place::Nowhere(outcome) => return Arc::new(outcome),
             Place::Peer(target, addr) => {
-                let outcome = pass(core, target, addr, &spec).await;
+                let _guard = core.passing.enter();
+                let outcome = tokio::select! {
+                    outcome = pass(core, target, addr, &spec) => outcome,
+                    () = core.passing.cut_off() => {
+                        return Arc::new(Outcome::Unknown(Reason::OwnerAway));
+                    }
+                };
                 if !moved(core, &spec.key, addr, &outcome) {
                     return outcome;
                 }
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -26,6 +26,7 @@
 use crate::core::Core;
 use crate::count::Counts;
 use crate::dispatch::Dispatch;
+use crate::passing::Passing;
 use crate::peers::Peers;
 use crate::sheets::Sheets;
 use crate::stop::stop;
@@ -235,6 +236,7 @@
         dispatch: Arc::new(dispatch),
         listing: ArcSwapOption::empty(),
         sheets: Sheets::new(cfg.log.retention, recorder.clone()),
+        passing: Passing::default(),
         recorder,
         counts: Counts::default(),
         stage: AtomicU8::new(0),
--- a/components/entry/tests/at_most_once.rs
+++ b/components/entry/tests/at_most_once.rs
@@ -241,6 +241,28 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_claims() {
+    // Nobody can tell a new VM of the claims that the log has dropped.
+    let mut fleet = Fleet::start(1, 1).await;
+    let first = fleet.submit(0, "bare", &[10]).await;
+    assert_eq!(first.0, 200, "{first:?}");
+    fleet.platform.trim(0);
+    fleet.net.pause("a/vm-0");
+    let cfg = config(1, fleet.platform.addr());
+    fleet.add_vm(cfg).await;
+    fleet
+        .until(1, |s| !s["peers"].as_array().unwrap().is_empty())
+        .await;
+    for _ in 0..5 {
+        unsure(&fleet.submit(1, "bare", &[10]).await);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    fleet.net.resume("a/vm-0");
+    assert_eq!(until_told(&fleet, 1, "bare", &[10], 200).await, first.1);
+    once(&fleet, "bare", 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn forgotten_answer() {
     let fleet = Fleet::start_with(1, 1, |mut cfg| {
--- a/components/entry/tests/planned_stop.rs
+++ b/components/entry/tests/planned_stop.rs
@@ -54,6 +54,43 @@
     assert_eq!(fleet.ledger.double_starts(), 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn waits_elsewhere() {
+    // The caller's VM stops while another VM runs the job.
+    let mut fleet = Fleet::start(2, 1).await;
+    let ticket = fleet.ticket(0).await;
+    let addr = fleet.vms[1].callers();
+    let req = hyper::Request::post("/v1/jobs")
+        .header("host", "vm")
+        .header(entry::KEY_HEADER, &ticket)
+        .body(http_body_util::Full::new(job(&[4000], 8000).into()))
+        .unwrap();
+    let client = fleet.client.clone();
+    let caller = tokio::spawn(async move { client.call(addr, req, WAIT).await });
+    fleet.until_started(&ticket, 1).await;
+    fleet.vms[1].stop(LONG).await;
+    fleet.kill(1);
+    let told = common::read(caller.await.unwrap().unwrap());
+    assert_eq!(told.0, 200, "{told:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn waits_too_long() {
+    let mut fleet = Fleet::start(2, 1).await;
+    let ticket = fleet.ticket(0).await;
+    let waiting = async {
+        fleet.until_started(&ticket, 1).await;
+        fleet.vms[1].stop(Millis(200)).await;
+    };
+    let body = job(&[3000], 8000);
+    let (told, ()) = tokio::join!(fleet.post(1, &ticket, &body), waiting);
+    assert_eq!((told.0, &told.1["reason"]), (503, &"owner_away".into()));
+    fleet.kill(1);
+    let told = fleet.post(0, &ticket, &body).await;
+    assert_eq!(told.0, 200, "{told:?}");
+    assert_eq!(fleet.ledger.count(), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn left_behind() {
     let mut fleet = Fleet::start_in(&["a", "a", "b"]).await;
