--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use jobs::Coverage;
-use kernel::{Clock, MinionId, Offset, Slots, Team};
+use kernel::{Clock, Millis, MinionId, Offset, Slots, Team};
 use limits::Share;
 use membership::{Health, PeerView, View};
 use platform::{Listing, Platform, Presence, Stream};
@@ -132,10 +132,15 @@
 }
 
 async fn read_claims<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
-    let wait = core.cfg.log.read_wait;
     loop {
         let (from, _) = core.claimer.position();
         let was_away = core.claimer.away();
+        // Without new records a long poll would show only at its end that the
+        // log is back, and refuse callers until then.
+        let wait = match was_away {
+            true => Millis(0),
+            false => core.cfg.log.read_wait,
+        };
         let departed = core.view.load().departed.clone();
         match core.platform.read(Stream::Claims, from, wait).await {
             Ok(chunk) => match core.claimer.apply(&chunk) {
--- a/components/membership/src/config.rs
+++ b/components/membership/src/config.rs
@@ -30,7 +30,7 @@
     fn default() -> Config {
         Config {
             near_period: Millis(250),
-            near_rate: 8,
+            near_rate: 6,
             far_period: Millis(1000),
             far_rate: 2,
             grace: Millis(1000),
