--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -17,6 +17,7 @@
 use crate::config::Config;
 use crate::count;
 use crate::dispatch::Dispatch;
+use crate::passing::Passing;
 use crate::run::Run;
 use crate::sheets::Sheets;
 use metrics::Metrics;
@@ -64,6 +65,8 @@
     pub view: ArcSwap<View>,
     /// The sheet in force.
     pub sheets: Sheets,
+    /// The submissions that wait for another VM.
+    pub passing: Passing,
     /// The time line.
     pub recorder: Recorder,
     /// What is counted.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod lookup;
 mod message;
 mod pass;
+mod passing;
 mod peers;
 mod run;
 mod sheets;
--- a/components/entry/src/task.rs
+++ b/components/entry/src/task.rs
@@ -26,6 +26,15 @@
 /// The longest such pause.
 const PAUSE_MAX: Duration = Duration::from_millis(100);
 
+/// The quantile of run times that counts as long.
+const LONG: f64 = 0.95;
+
+/// How many long run times a task may take before its connection is suspected.
+const OVERDUE_FACTOR: u32 = 2;
+
+/// The least time before a connection is suspected.
+const OVERDUE_MIN: Duration = Duration::from_millis(100);
+
 /// The minions remembered as having turned a task away.
 const AVOID: usize = 8;
 
@@ -93,7 +102,7 @@
                 held.finish(Finish::Lost, core.now());
                 core.minions.forget(minion.addr);
                 note(core, run, task, &minion, EventKind::TaskLost);
-                return Err(Reason::ConnectionLost(task.id.clone()));
+                return Err(lost(run, task));
             }
             Sent::NotStarted => {
                 run.clear();
@@ -112,6 +121,15 @@
     }
 }
 
+/// Tells why a task that was sent got no answer. No answer by the deadline says
+/// nothing of the connection.
+fn lost(run: &Run, task: &TaskSpec) -> Reason {
+    match Instant::now() >= run.until {
+        true => Reason::Deadline,
+        false => Reason::ConnectionLost(task.id.clone()),
+    }
+}
+
 fn note<C: Connect, P: Policy>(
     core: &Core<C, P>,
     run: &Run,
@@ -157,11 +175,36 @@
     let flight = Flight {
         metrics: Some(&core.metrics),
     };
-    let answer = core.minions.call(minion.addr, req, left).await;
+    let call = core.minions.call(minion.addr, req, left);
+    let answer = watch(core, run, task, minion, call).await;
     flight.land();
     judge(answer)
 }
 
+/// Waits for an answer. A task that takes far longer than usual may be on a
+/// connection that has gone silent, so the idle ones beside it are not used
+/// any more. The task itself is waited for, as it may well be running.
+async fn watch<C: Connect, P: Policy>(
+    core: &Core<C, P>,
+    run: &Run,
+    task: &TaskSpec,
+    minion: &MinionInfo,
+    call: impl Future<Output = Result<Reply, CallError>>,
+) -> Result<Reply, CallError> {
+    let (service, team) = (&run.spec.service, &run.spec.team);
+    let times = &core.dispatch.times;
+    let usual = times.quantile(service, team, LONG, task.declared);
+    let overdue = OVERDUE_MIN.max(usual.duration() * OVERDUE_FACTOR);
+    let mut call = std::pin::pin!(call);
+    match tokio::time::timeout(overdue, call.as_mut()).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            core.minions.forget(minion.addr);
+            call.await
+        }
+    }
+}
+
 fn request<C: Connect, P: Policy>(
     core: &Core<C, P>,
     run: &Run,
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -25,6 +25,7 @@
 use crate::control;
 use crate::core::Core;
 use crate::dispatch::Dispatch;
+use crate::passing::Passing;
 use crate::peers::Peers;
 use crate::sheets::Sheets;
 use crate::stop::stop;
@@ -248,6 +249,7 @@
         dispatch: Arc::new(dispatch),
         listing: ArcSwapOption::empty(),
         sheets: Sheets::new(cfg.log.retention, recorder.clone()),
+        passing: Passing::default(),
         recorder,
         metrics: Metrics::new(),
         stage: AtomicU8::new(0),
