--- a/components/entry/src/claimer.rs
+++ b/components/entry/src/claimer.rs
@@ -1,49 +1,23 @@
 //! Claims keys that callers made up, many with one append (group commit).
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use jobs::{ClaimError, ClaimRecord, Claims, Coverage, Decided, Enlisted, KeyHash, Owner, Release};
-use kernel::{HashMap, Incarnation, Offset};
+use kernel::{HashMap, Offset};
 use platform::{AppendError, Chunk, Platform, Stream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep_until};
 
+use crate::claimed::{Applied, Claimed, Departed, Known};
 use crate::config::LogLimits;
 
 /// The most keys in one record, which keeps records below 40 kB.
 const BATCH: usize = 1000;
 
-/// The incarnations gone for good, each with who took over.
-pub type Departed = BTreeMap<Incarnation, Option<Incarnation>>;
-
-/// How a claim ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Claimed {
-    /// This VM owns the key.
-    Won,
-    /// Another VM does.
-    Lost(Owner),
-    /// The log is away, so that nobody can tell.
-    Away,
-}
-
-/// Who may start the job of a key, as far as is known without asking the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Known {
-    /// Nobody has claimed it.
-    Nobody,
-    /// An incarnation owns it.
-    Owner(Owner),
-    /// This VM owns it but is giving it up.
-    Leaving,
-    /// Claims in the log may be missing here.
-    Uncovered,
-}
-
 /// The keys for the next appends.
 #[derive(Debug, Default)]
 struct Batch {
@@ -384,20 +358,6 @@
     }
 }
 
-/// What became of a chunk of records.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Applied {
-    /// It was applied but for this many broken records.
-    Read {
-        /// Records that could not be read.
-        broken: usize,
-        /// Whether all that is in the log is known now.
-        whole: bool,
-    },
-    /// Records between those applied and the chunk are missing.
-    Gap,
-}
-
 /// A wait for a key's owner.
 struct Wait<'a> {
     /// The claimer.
--- a/components/entry/src/confirm.rs
+++ b/components/entry/src/confirm.rs
@@ -8,14 +8,14 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use jobs::{KeyHash, Outcome, Ran};
-use kernel::JobKey;
+use kernel::{Incarnation, JobKey};
 use membership::Health;
 use routing::Policy;
 use wire::Connect;
 
-use crate::claimer::Known;
+use crate::claimed::Known;
 use crate::core::Core;
-use crate::message::{CLAIMED_PATH, ClaimedReply};
+use crate::message::{CLAIMED_PATH, ClaimedAsk, ClaimedReply};
 use crate::pass::ask;
 use crate::run::Run;
 
@@ -50,12 +50,17 @@
 /// Tells whether no VM, alive or gone, can have started a key's job.
 async fn nobody_started<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, key: &JobKey) -> bool {
     let view = core.view.load_full();
-    if !core.claimer.covers(&view.departed) || owned_elsewhere(core, key) {
+    let asker = core.me.incarnation;
+    if !core.claimer.covers(&view.departed) || owned_here(core, key) {
         return false;
     }
+    let message = ClaimedAsk {
+        key: key.clone(),
+        asker,
+    };
     let peers = view.peers.iter().filter(|p| p.health != Health::Gone);
     let mut answers: FuturesUnordered<_> = peers
-        .map(|p| ask(&core.peers, p.peers, CLAIMED_PATH, key, WAIT))
+        .map(|p| ask(&core.peers, p.peers, CLAIMED_PATH, &message, WAIT))
         .collect();
     while let Some(answer) = answers.next().await {
         if !matches!(answer, Ok(ClaimedReply::Free)) {
@@ -65,20 +70,29 @@
     true
 }
 
+/// Tells whether a key has an owner, this VM included, whose job it may be.
+fn owned_here<C: Connect, P: Policy>(core: &Core<C, P>, key: &JobKey) -> bool {
+    matches!(core.claimer.known(KeyHash::of(key)), Known::Owner(_))
+}
+
 /// Tells a peer whether this VM knows of anybody who may have started a job.
-pub fn claimed_here<C: Connect, P: Policy>(core: &Core<C, P>, key: &JobKey) -> ClaimedReply {
-    let started = match core.table.find(key) {
+pub fn claimed_here<C: Connect, P: Policy>(core: &Core<C, P>, ask: &ClaimedAsk) -> ClaimedReply {
+    let started = match core.table.find(&ask.key) {
         Some(Ok(run)) => !run.refused(),
         Some(Err(_)) => true,
         None => false,
     };
-    match started || owned_elsewhere(core, key) {
+    match started || owned(core, &ask.key, ask.asker) {
         true => ClaimedReply::Taken,
         false => ClaimedReply::Free,
     }
 }
 
-/// Tells whether a key has an owner who is not giving it up.
-fn owned_elsewhere<C: Connect, P: Policy>(core: &Core<C, P>, key: &JobKey) -> bool {
-    matches!(core.claimer.known(KeyHash::of(key)), Known::Owner(_))
+/// Tells whether a key has an owner who is not giving it up, other than the one
+/// who refuses its job.
+fn owned<C: Connect, P: Policy>(core: &Core<C, P>, key: &JobKey, refuser: Incarnation) -> bool {
+    match core.claimer.known(KeyHash::of(key)) {
+        Known::Owner(owner) => owner.incarnation != refuser,
+        Known::Nobody | Known::Leaving | Known::Uncovered => false,
+    }
 }
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -17,7 +17,7 @@
 use wire::Connect;
 
 use crate::beat::{ask_peers, beat_due, greet};
-use crate::claimer::Applied;
+use crate::claimed::Applied;
 use crate::core::Core;
 use crate::message::CLAIMS_PATH;
 use crate::message::ClaimsReply;
--- a/components/entry/src/drive.rs
+++ b/components/entry/src/drive.rs
@@ -10,7 +10,7 @@
 use timeline::{EventKind, Note};
 use wire::Connect;
 
-use crate::claimer::Claimed;
+use crate::claimed::Claimed;
 use crate::confirm::confirm;
 use crate::core::{Core, Stage};
 use crate::pass::pass_to;
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -4,6 +4,7 @@
 mod api;
 mod beat;
 mod callers;
+mod claimed;
 mod claimer;
 mod config;
 mod confirm;
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -56,6 +56,15 @@
     NotMine,
 }
 
+/// Asks about a key whose job the asker refuses.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ClaimedAsk {
+    /// The key.
+    pub key: JobKey,
+    /// The asker, whose own claim does not count.
+    pub asker: Incarnation,
+}
+
 /// Whether a VM knows of anybody who may have started a key's job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimedReply {
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use jobs::{Outcome, Reason};
-use kernel::{Clock, JobKey};
+use kernel::Clock;
 use routing::Policy;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -23,9 +23,9 @@
 use crate::core::{Core, Stage};
 use crate::lookup::{Found, cancel_here, find_here};
 use crate::message::{
-    AWAIT_PATH, Ask, BEAT_PATH, CANCEL_PATH, CLAIMED_PATH, CLAIMS_PATH, ClaimsReply, FIND_PATH,
-    HANDOVER_PATH, HandOver, HandOverReply, PASS_PATH, POLL_WAIT, Pass, PassReply, PeerState,
-    STATE_PATH,
+    AWAIT_PATH, Ask, BEAT_PATH, CANCEL_PATH, CLAIMED_PATH, CLAIMS_PATH, ClaimedAsk, ClaimsReply,
+    FIND_PATH, HANDOVER_PATH, HandOver, HandOverReply, PASS_PATH, POLL_WAIT, Pass, PassReply,
+    PeerState, STATE_PATH,
 };
 use crate::run::Run;
 use crate::submit::{Bar, enter};
@@ -121,8 +121,8 @@
     }
 
     fn claimed(&self, body: &[u8]) -> Response<Full<Bytes>> {
-        match self.read::<JobKey>(body) {
-            Ok(key) => write(&claimed_here(&self.core, &key)),
+        match self.read::<ClaimedAsk>(body) {
+            Ok(ask) => write(&claimed_here(&self.core, &ask)),
             Err(res) => *res,
         }
     }
--- a/components/entry/src/submit.rs
+++ b/components/entry/src/submit.rs
@@ -10,7 +10,7 @@
 use timeline::{EventKind, Note};
 use wire::Connect;
 
-use crate::claimer::Known;
+use crate::claimed::Known;
 use crate::core::{Core, Stage};
 use crate::drive::drive;
 use crate::pass::pass;
--- a/components/entry/tests/bad_input.rs
+++ b/components/entry/tests/bad_input.rs
@@ -223,7 +223,9 @@
             (b"\x00\x01garbage", 400),
             (b"\x00\x07\xc0", 426),
         ] {
-            for path in ["pass", "await", "find", "cancel", "beat", "handover"] {
+            for path in [
+                "pass", "await", "find", "cancel", "claimed", "beat", "handover",
+            ] {
                 let req = Request::post(format!("/peer/v1/{path}"))
                     .header("host", "vm")
                     .body(Full::new(Bytes::copy_from_slice(body)))
@@ -236,5 +238,5 @@
     };
     let (running, ()) = tokio::join!(running, messages);
     assert_eq!(running.0, 200, "{running:?}");
-    assert_eq!(fleet.status(0).await["counts"]["broken"], 24);
+    assert_eq!(fleet.status(0).await["counts"]["broken"], 28);
 }
