--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -24,12 +24,12 @@
 use crate::config::Config;
 use crate::control;
 use crate::core::Core;
-use crate::count::Counts;
 use crate::dispatch::Dispatch;
 use crate::passing::Passing;
 use crate::peers::Peers;
 use crate::sheets::Sheets;
 use crate::stop::stop;
+use metrics::Metrics;
 
 /// Why a VM could not start.
 #[derive(Debug)]
@@ -68,6 +68,10 @@
     callers: SocketAddr,
     /// Where peers reach it.
     peers: SocketAddr,
+    /// Reads the time line.
+    recorder: Recorder,
+    /// Reads what is counted.
+    metrics: Metrics,
     /// Asks for the planned stop.
     stop: mpsc::Sender<Millis>,
     /// True once stopped.
@@ -115,6 +119,16 @@
         self.peers
     }
 
+    /// Returns the VM's time line.
+    pub fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    /// Returns what the VM counts.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Stops the VM as planned; jobs that have not ended within `wait` are cut
     /// off. It returns once all is handed over and answered.
     pub async fn stop(&self, wait: Millis) {
@@ -163,6 +177,8 @@
         incarnation: core.me.incarnation,
         callers: callers_addr,
         peers: peers_addr,
+        recorder: core.recorder.clone(),
+        metrics: core.metrics.clone(),
         stop: ask,
         stopped,
     };
@@ -189,9 +205,6 @@
 /// The longest wait for connections to end after everything was answered.
 const CLOSE_WAIT: std::time::Duration = std::time::Duration::from_secs(2);
 
-/// The events that a VM remembers.
-const RING_EVENTS: usize = 1 << 16;
-
 fn build<C: Connect, P: Policy>(
     cfg: Config,
     routing: RoutingConfig,
@@ -206,7 +219,7 @@
         vm: cfg.id.clone(),
     };
     let clock = SystemClock::new();
-    let ring = RING_EVENTS;
+    let ring = cfg.ring;
     let recorder = Recorder::new(cfg.id.clone(), me.incarnation, clock.clone(), ring);
     let fleet = Fleet::new(cfg.domain.clone(), routing, policy);
     let dispatch = Dispatch::new(cfg.domain.clone(), fleet, limits, clock.clone());
@@ -238,7 +251,7 @@
         sheets: Sheets::new(cfg.log.retention, recorder.clone()),
         passing: Passing::default(),
         recorder,
-        counts: Counts::default(),
+        metrics: Metrics::new(),
         stage: AtomicU8::new(0),
         me,
         clock,
