Time line: peers, minions, quotas and dropped answers are noted, and all notes counted

Cause: counters for ejections, resends, dropped answers and refused sheets stayed at 0, as nothing recorded their events.

--- a/components/entry/src/beat.rs
+++ b/components/entry/src/beat.rs
@@ -69,7 +69,7 @@
         teams: dispatch.teams.digest(now),
         home_teams: dispatch.home_teams.digest(now),
         services: dispatch.services.digest(now),
-        stamp: core.recorder.stamp(),
+        stamp: core.notes.recorder.stamp(),
     }
 }
 
@@ -107,7 +107,7 @@
 
 async fn beat_one<C: Connect, P: Policy>(core: Arc<Core<C, P>>, target: Target, load: Load) {
     let beat = core.members().beat(core.now(), &target, load);
-    core.metrics.add(Count::HeartbeatSent, 1);
+    core.notes.metrics.add(Count::HeartbeatSent, 1);
     let answer = ask::<_, _, Beat>(&core.peers, target.addr, BEAT_PATH, &beat, BEAT_WAIT).await;
     match answer {
         Ok(reply) => {
@@ -155,7 +155,7 @@
     let from = &beat.from.id;
     let load = &beat.note;
     let dispatch = &core.dispatch;
-    core.recorder.observe(load.stamp);
+    core.notes.recorder.observe(load.stamp);
     dispatch.teams.absorb(from, &load.teams, now);
     if beat.from.domain == core.cfg.domain {
         dispatch.fleet.absorb(from, &load.fleet, now);
--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -125,7 +125,7 @@
 
     /// Counts a malformed request and tells what is wrong with it.
     fn refuse(&self, bad: &BadRequest) -> Response<Full<Bytes>> {
-        self.core.metrics.add(Count::RequestRefused, 1);
+        self.core.notes.metrics.add(Count::RequestRefused, 1);
         api::write_bad(bad)
     }
 
@@ -138,7 +138,7 @@
 
     fn timeline(&self, query: &str) -> Response<Full<Bytes>> {
         match query.parse::<timeline::Filter>() {
-            Ok(filter) => api::json(StatusCode::OK, &self.core.recorder.read(&filter)),
+            Ok(filter) => api::json(StatusCode::OK, &self.core.notes.recorder.read(&filter)),
             Err(e) => self.refuse(&BadRequest::new("query", e)),
         }
     }
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -17,6 +17,7 @@
 use wire::Connect;
 
 use crate::beat::{ask_peers, beat_due, greet};
+use crate::changes;
 use crate::claimed::Applied;
 use crate::core::Core;
 use crate::levels;
@@ -57,6 +58,7 @@
     tokio::spawn(read_claims(core.clone()));
     tokio::spawn(expire_claims(core.clone()));
     tokio::spawn(levels::watch(core.clone()));
+    tokio::spawn(changes::watch(core.clone()));
     let core = core.clone();
     tokio::spawn(async move { core.claimer.append_all(&core.platform).await });
 }
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -10,17 +10,16 @@
 use platform::{HttpPlatform, Listing};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use routing::Policy;
-use timeline::{Note, Recorder};
+use timeline::Note;
 use wire::{Client, Connect};
 
 use crate::claimer::Claimer;
 use crate::config::Config;
-use crate::count;
 use crate::dispatch::Dispatch;
+use crate::notes::Notes;
 use crate::passing::Passing;
 use crate::run::Run;
 use crate::sheets::Sheets;
-use metrics::Metrics;
 
 /// How far a VM is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -67,10 +66,8 @@
     pub sheets: Sheets,
     /// The submissions that wait for another VM.
     pub passing: Passing,
-    /// The time line.
-    pub recorder: Recorder,
-    /// What is counted.
-    pub metrics: Metrics,
+    /// The time line and what is counted.
+    pub notes: Notes,
     /// How far the VM is, as [`Stage`].
     pub stage: AtomicU8,
 }
@@ -102,10 +99,7 @@
 
     /// Records an event on the time line, and counts it.
     pub fn note(&self, note: Note) {
-        if let Some(count) = count::of_event(&note.what) {
-            self.metrics.add(count, 1);
-        }
-        self.recorder.record(note);
+        self.notes.note(note);
     }
 
     /// Locks the membership, which only control code does.
--- a/components/entry/src/drive.rs
+++ b/components/entry/src/drive.rs
@@ -108,8 +108,8 @@
 /// refused before anything was sent.
 fn settle<C: Connect, P: Policy>(core: &Core<C, P>, run: &Run, outcome: Outcome) {
     let key = &run.spec.key;
-    core.metrics.add(count::of_outcome(&outcome), 1);
-    core.metrics.time(Timing::Response, run.age());
+    core.notes.metrics.add(count::of_outcome(&outcome), 1);
+    core.notes.metrics.time(Timing::Response, run.age());
     note_outcome(core, key, &outcome);
     let outcome = Arc::new(outcome);
     match &*outcome {
@@ -121,11 +121,18 @@
         }
         // Another VM's answer; that VM keeps it.
         _ if !run.owned() => core.table.withdraw(key, || {}),
-        _ => core.table.finish(key, outcome.clone(), core.now()),
+        _ => keep(core, key, &outcome),
     }
     run.end(outcome);
 }
 
+/// Keeps a final outcome, and notes the answers that it pushes out.
+fn keep<C: Connect, P: Policy>(core: &Core<C, P>, key: &JobKey, outcome: &Arc<Outcome>) {
+    for old in core.table.finish(key, outcome.clone(), core.now()) {
+        core.note(Note::new(EventKind::JobForgotten).job(&old));
+    }
+}
+
 fn give_back<C: Connect, P: Policy>(core: &Core<C, P>, run: &Run) {
     match &run.spec.key {
         JobKey::Ticket(ticket) => core.windows.give_back(*ticket),
--- a/components/entry/src/levels.rs
+++ b/components/entry/src/levels.rs
@@ -23,20 +23,20 @@
         ticks.tick().await;
         let status = status::read(&core);
         for gauge in Gauge::ALL {
-            core.metrics.set(*gauge, level(&status, *gauge));
+            core.notes.metrics.set(*gauge, level(&status, *gauge));
         }
         raise(&core, Count::WasteClaim, &mut appends, status.appends);
         raise(
             &core,
             Count::EventMissed,
             &mut missed,
-            core.recorder.missed(),
+            core.notes.recorder.missed(),
         );
     }
 }
 
 fn raise<C: Connect, P: Policy>(core: &Core<C, P>, count: Count, last: &mut u64, now: u64) {
-    core.metrics.add(count, now.saturating_sub(*last));
+    core.notes.metrics.add(count, now.saturating_sub(*last));
     *last = now;
 }
 
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -4,6 +4,7 @@
 mod api;
 mod beat;
 mod callers;
+mod changes;
 mod claimed;
 mod claimer;
 mod config;
@@ -16,6 +17,7 @@
 mod levels;
 mod lookup;
 mod message;
+mod notes;
 mod pass;
 mod passing;
 mod peers;
--- a/components/entry/src/pass.rs
+++ b/components/entry/src/pass.rs
@@ -147,7 +147,7 @@
     let mut spec = spec.clone();
     spec.deadline = Millis((left.as_millis() as u64).max(1));
     let pass = Pass { target, spec };
-    core.metrics.add(Count::WastePassed, 1);
+    core.notes.metrics.add(Count::WastePassed, 1);
     ask(&core.peers, addr, PASS_PATH, &pass, patience(until)).await
 }
 
@@ -169,6 +169,6 @@
         target,
         key: spec.key.clone(),
     };
-    core.metrics.add(Count::WastePassed, 1);
+    core.notes.metrics.add(Count::WastePassed, 1);
     ask(&core.peers, addr, AWAIT_PATH, &ask_for, patience(until)).await
 }
--- a/components/entry/src/sheets.rs
+++ b/components/entry/src/sheets.rs
@@ -8,9 +8,11 @@
 use kernel::{Millis, Offset, Timestamp};
 use platform::{Chunk, Platform, Stream};
 use sheet::{Adopted, Held, LogExtent, RenewalRule, SheetLog, SheetRecord, Snapshot, Verdict};
-use timeline::{EventKind, Note, Recorder};
+use timeline::{EventKind, Note};
 use tokio::sync::Notify;
 
+use crate::notes::Notes;
+
 /// What the control loop decides with.
 struct State {
     /// The reader of the log.
@@ -30,13 +32,13 @@
     /// Told when another sheet came into force.
     changed: Notify,
     /// Gets events.
-    recorder: Recorder,
+    notes: Notes,
 }
 
 impl Sheets {
     /// Makes a reader that knows no sheet yet, for a log that keeps records
     /// for `retention`.
-    pub fn new(retention: Millis, recorder: Recorder) -> Sheets {
+    pub fn new(retention: Millis, notes: Notes) -> Sheets {
         Sheets {
             state: Mutex::new(State {
                 log: SheetLog::new(),
@@ -45,7 +47,7 @@
             }),
             held: ArcSwapOption::empty(),
             changed: Notify::new(),
-            recorder,
+            notes,
         }
     }
 
@@ -183,7 +185,7 @@
     }
 
     fn note(&self, kind: EventKind) {
-        self.recorder.record(Note::new(kind));
+        self.notes.note(Note::new(kind));
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/components/entry/src/status.rs
+++ b/components/entry/src/status.rs
@@ -130,7 +130,7 @@
 
 /// Returns every counter by its metric's name.
 fn counts<C: Connect, P: Policy>(core: &Core<C, P>) -> BTreeMap<&'static str, u64> {
-    let read = |count: &Count| (count.name(), core.metrics.count(*count));
+    let read = |count: &Count| (count.name(), core.notes.metrics.count(*count));
     Count::ALL.iter().map(read).collect()
 }
 
--- a/components/entry/src/task.rs
+++ b/components/entry/src/task.rs
@@ -80,11 +80,15 @@
         };
         let started = core.now();
         run.expose();
+        if !avoid.is_empty() {
+            note(core, run, task, &minion, EventKind::TaskResent);
+        }
         note(core, run, task, &minion, EventKind::TaskSent);
         match send(core, run, task, &minion).await {
             Sent::Answered(body) => {
                 let run_time = core.now().micros_since(started);
-                core.metrics
+                core.notes
+                    .metrics
                     .time(Timing::TaskRun, Duration::from_micros(run_time));
                 let learned = Millis(run_time / 1000);
                 let times = &core.dispatch.times;
@@ -173,7 +177,7 @@
         return Sent::NotStarted;
     };
     let flight = Flight {
-        metrics: Some(&core.metrics),
+        metrics: Some(&core.notes.metrics),
     };
     let call = core.minions.call(minion.addr, req, left);
     let answer = watch(core, run, task, minion, call).await;
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -25,6 +25,7 @@
 use crate::control;
 use crate::core::Core;
 use crate::dispatch::Dispatch;
+use crate::notes::Notes;
 use crate::passing::Passing;
 use crate::peers::Peers;
 use crate::sheets::Sheets;
@@ -177,8 +178,8 @@
         incarnation: core.me.incarnation,
         callers: callers_addr,
         peers: peers_addr,
-        recorder: core.recorder.clone(),
-        metrics: core.metrics.clone(),
+        recorder: core.notes.recorder.clone(),
+        metrics: core.notes.metrics.clone(),
         stop: ask,
         stopped,
     };
@@ -220,7 +221,10 @@
     };
     let clock = SystemClock::new();
     let ring = cfg.ring;
-    let recorder = Recorder::new(cfg.id.clone(), me.incarnation, clock.clone(), ring);
+    let notes = Notes {
+        recorder: Recorder::new(cfg.id.clone(), me.incarnation, clock.clone(), ring),
+        metrics: Metrics::new(),
+    };
     let fleet = Fleet::new(cfg.domain.clone(), routing, policy);
     let dispatch = Dispatch::new(cfg.domain.clone(), fleet, limits, clock.clone());
     let wait = cfg.log.append_wait;
@@ -248,10 +252,9 @@
         claimer: Claimer::new(me.clone(), cfg.log, cfg.jobs.claim_count),
         dispatch: Arc::new(dispatch),
         listing: ArcSwapOption::empty(),
-        sheets: Sheets::new(cfg.log.retention, recorder.clone()),
+        sheets: Sheets::new(cfg.log.retention, notes.clone()),
         passing: Passing::default(),
-        recorder,
-        metrics: Metrics::new(),
+        notes,
         stage: AtomicU8::new(0),
         me,
         clock,
--- a/components/jobs/src/table.rs
+++ b/components/jobs/src/table.rs
@@ -121,11 +121,12 @@
         }
     }
 
-    /// Ends a running job and keeps its answer.
-    pub fn finish(&self, key: &JobKey, outcome: Arc<Outcome>, now: Timestamp) {
+    /// Ends a running job and keeps its answer. It returns the jobs whose
+    /// answers were dropped for it.
+    pub fn finish(&self, key: &JobKey, outcome: Arc<Outcome>, now: Timestamp) -> Vec<JobKey> {
         let mut shard = self.shard(key);
         shard.keep(key.clone(), outcome, now);
-        shard.shrink(self.limits.kept_bytes / SHARDS);
+        shard.shrink(self.limits.kept_bytes / SHARDS)
     }
 
     /// Takes a running job out again that was refused before it was accepted.
@@ -213,14 +214,18 @@
         self.bytes += weight;
     }
 
-    fn shrink(&mut self, most: usize) {
+    /// Drops the oldest answers beyond `most` bytes and returns their jobs.
+    fn shrink(&mut self, most: usize) -> Vec<JobKey> {
+        let mut dropped = Vec::new();
         while self.bytes > most {
             let Some((old, _)) = self.order.pop_front() else {
-                return;
+                break;
             };
             if let Some(Entry::Done(outcome)) = self.map.remove(&old) {
                 self.bytes -= ENTRY_BYTES + outcome.weight();
             }
+            dropped.push(old);
         }
+        dropped
     }
 }
