--- a/components/entry/src/drive.rs
+++ b/components/entry/src/drive.rs
@@ -62,10 +62,8 @@
 
 /// Admits the job, makes sure that this VM alone may start it, and runs it.
 async fn attempt<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, run: &Arc<Run>) -> Outcome {
-    let stopping = core.stage() != Stage::Serving;
     if !run.owned() {
-        // Too late to release a claim before the process ends.
-        if stopping && !core.windows.holds(core.me.incarnation) {
+        if core.stage() != Stage::Serving {
             return Outcome::not_run(Reason::Stopping);
         }
         match core.claimer.claim(KeyHash::of(&run.spec.key)).await {
@@ -79,10 +77,6 @@
             }
         }
     }
-    // Claimed first, and released again, so that "not run" is certain.
-    if stopping {
-        return Outcome::not_run(Reason::Stopping);
-    }
     // Only the owner of a key knows that a job it refuses did not run elsewhere.
     if let Err(reason) = core.admit(&run.spec) {
         return Outcome::not_run(reason);
