A stopping VM passes unowned keys to one that serves on

Change: the stopping VM passes such a job to a serving peer, which claims it; a peer that is stopping itself declines, so that no job goes in a circle.

--- a/components/entry/src/drive.rs
+++ b/components/entry/src/drive.rs
@@ -14,8 +14,9 @@
 use crate::confirm::confirm;
 use crate::core::{Core, Stage};
 use crate::count;
-use crate::pass::pass_to;
+use crate::pass::{pass, pass_to};
 use crate::run::Run;
+use crate::stop::successors;
 use crate::task::run_task;
 use metrics::Timing;
 
@@ -64,7 +65,7 @@
 async fn attempt<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, run: &Arc<Run>) -> Outcome {
     if !run.owned() {
         if core.stage() != Stage::Serving {
-            return Outcome::not_run(Reason::Stopping);
+            return relay(core, run).await;
         }
         match core.claimer.claim(KeyHash::of(&run.spec.key)).await {
             Claimed::Won => run.own(),
@@ -85,6 +86,23 @@
     run_tasks(core, run).await
 }
 
+/// Leaves a job that nobody owns yet to a VM that goes on serving, as this one
+/// is stopping. Without such a VM the job is refused.
+async fn relay<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, run: &Arc<Run>) -> Outcome {
+    for (incarnation, addr) in successors(core) {
+        // From here on the other VM may run the job.
+        run.expose();
+        let outcome = pass(core, incarnation, addr, &run.spec).await;
+        if *outcome != Outcome::Unknown(Reason::OwnerAway) {
+            return Outcome::clone(&outcome);
+        }
+    }
+    match run.ran() {
+        Ran::No => Outcome::not_run(Reason::Stopping),
+        Ran::Maybe => Outcome::Unknown(Reason::OwnerAway),
+    }
+}
+
 /// Runs all tasks. The first that fails ends the job: dropping the others
 /// takes them out of the queue or closes their connections.
 async fn run_tasks<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, run: &Arc<Run>) -> Outcome {
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -8,8 +8,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use jobs::{Outcome, Reason};
-use kernel::Clock;
+use jobs::{KeyHash, Outcome, Reason};
+use kernel::{Clock, JobKey};
 use routing::Policy;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -19,6 +19,7 @@
 
 use crate::api::empty;
 use crate::beat::{Beat, answer_beat};
+use crate::claimed::Known;
 use crate::confirm::claimed_here;
 use crate::core::{Core, Stage};
 use crate::lookup::{Found, cancel_here, find_here};
@@ -90,6 +91,9 @@
             return write(&PassReply::NotMine);
         }
         let spec = Arc::new(pass.spec);
+        if self.declines(&spec.key) {
+            return write(&PassReply::NotMine);
+        }
         self.core
             .note(Note::new(EventKind::JobReceived).job(&spec.key));
         match enter(&self.core, &spec) {
@@ -99,6 +103,15 @@
         }
     }
 
+    /// Tells whether a job that nobody owns yet should go to a VM that serves
+    /// on. Passing it on from here could lead it in a circle.
+    fn declines(&self, key: &JobKey) -> bool {
+        let stopping = self.core.stage() != Stage::Serving;
+        let unowned = matches!(key, JobKey::Bare(_))
+            && !matches!(self.core.claimer.known(KeyHash::of(key)), Known::Owner(_));
+        stopping && unowned && self.core.table.find(key).is_none()
+    }
+
     async fn wait_on(&self, body: &[u8]) -> Response<Full<Bytes>> {
         let ask: Ask = match self.read(body) {
             Ok(ask) => ask,
--- a/components/entry/src/stop.rs
+++ b/components/entry/src/stop.rs
@@ -91,7 +91,7 @@
 }
 
 /// Returns the peers that could take over, those of this domain first.
-fn successors<C: Connect, P: Policy>(core: &Core<C, P>) -> Vec<(Incarnation, SocketAddr)> {
+pub fn successors<C: Connect, P: Policy>(core: &Core<C, P>) -> Vec<(Incarnation, SocketAddr)> {
     let view = core.view.load();
     let able = |p: &&PeerView| p.health == Health::Live && p.presence == Presence::Live;
     let mut peers: Vec<_> = view.peers.iter().filter(able).collect();
