--- a/components/replay/src/trace.rs
+++ b/components/replay/src/trace.rs
@@ -174,6 +174,28 @@
     Cut(Domain),
 }
 
+impl Fault {
+    /// Returns the word for the fault's kind in traces.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Fault::Minion(_, MinionFault::Dies) => "minion_dies",
+            Fault::Minion(_, MinionFault::FailsAll) => "minion_fails_all",
+            Fault::Minion(_, MinionFault::Slow(_)) => "minion_slow",
+            Fault::Minion(_, MinionFault::Leaves) => "minion_leaves",
+            Fault::Minion(_, MinionFault::Silent) => "minion_silent",
+            Fault::Vm(_, VmFault::Dies) => "vm_dies",
+            Fault::Vm(_, VmFault::Returns) => "vm_returns",
+            Fault::Vm(_, VmFault::Stops) => "vm_stops",
+            Fault::Vm(_, VmFault::Pauses) => "vm_pauses",
+            Fault::Log(LogFault::Down) => "log_down",
+            Fault::Log(LogFault::Slow(_)) => "log_slow",
+            Fault::Log(LogFault::LosesAnswers) => "log_loses_answers",
+            Fault::Log(LogFault::Trims(_)) => "log_trims",
+            Fault::Cut(_) => "domain_cut",
+        }
+    }
+}
+
 /// A fault of a minion.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum MinionFault {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod replay;
 pub mod serve;
 pub mod sheet;
+pub mod soak;
 pub mod status;
 pub mod timeline;
 
@@ -28,7 +29,7 @@
         Command::Sheet(command) => sheet::run(&ctl.fleet, command).await,
         Command::Demo => replay::demo().await,
         Command::Replay(args) => replay::run(&args).await,
-        Command::Soak(args) => replay::soak(&args).await,
+        Command::Soak(args) => soak::run(&args).await,
         Command::Job(command) => job::run(&Fleet::find(&ctl.fleet).await?, command).await,
         Command::Status(args) => status::run(&Fleet::find(&ctl.fleet).await?, &args).await,
         Command::Timeline(args) => timeline::run(&Fleet::find(&ctl.fleet).await?, args).await,
--- a/src/cmd/replay.rs
+++ b/src/cmd/replay.rs
@@ -1,10 +1,9 @@
-//! `pomeloctl replay`, `soak` and `demo`: traces played on an embedded fleet.
+//! `pomeloctl replay` and `demo`: traces played on an embedded fleet.
 
 use std::fs;
 use std::path::{Path, PathBuf};
 
 use clap::Args;
-use kernel::Millis;
 use replay::{Answer, Report, Submission, Trace, play};
 
 use crate::cmd::print;
@@ -20,20 +19,6 @@
     trace: PathBuf,
 }
 
-/// Which random traces to play.
-#[derive(Debug, Args)]
-pub struct SoakArgs {
-    /// The first trace's seed; each further one adds 1.
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
-    /// How many traces to play.
-    #[arg(long, default_value_t = 1)]
-    runs: u64,
-    /// The length of each trace.
-    #[arg(long, default_value = "30s", value_name = "SPAN")]
-    span: Millis,
-}
-
 /// Runs `pomeloctl replay`; the last line is the summary.
 ///
 /// # Errors
@@ -47,21 +32,6 @@
     tell(&report)
 }
 
-/// Runs `pomeloctl soak`: random traces with a line of summary each.
-///
-/// # Errors
-///
-/// Fails at the first trace whose invariants broke, and names its seed.
-pub async fn soak(args: &SoakArgs) -> Result<(), CommandError> {
-    for seed in args.seed..args.seed.saturating_add(args.runs) {
-        eprintln!("seed {seed}");
-        let text = replay::generate(seed, args.span);
-        let report = play_text(Path::new("generated"), &text).await?;
-        tell(&report)?;
-    }
-    Ok(())
-}
-
 /// Runs `pomeloctl demo`: a short morning on an embedded fleet.
 ///
 /// # Errors
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -174,3 +174,12 @@
     let shown = stdout(&pomeloctl(&["sheet", "show", path.to_str().unwrap()]));
     assert!(shown.contains("service,quote,a,24"), "{shown}");
 }
+
+#[test]
+fn soak_counts() {
+    let args = ["soak", "--seed", "7", "--for", "1ms", "--span", "1s"];
+    let output = pomeloctl(&args);
+    assert_eq!(output.status.code(), Some(0), "{}", stdout(&output));
+    let told = stdout(&output);
+    assert!(told.contains("1 traces,"), "{told}");
+}
