A VM replaced while it stops may still name a successor

Peers counted the earlier process as gone as soon as a later one spoke under its name, and failed its jobs that were still running. They keep its address now, and ask it, until it names a successor or absent_after is over.

--- a/components/entry/src/confirm.rs
+++ b/components/entry/src/confirm.rs
@@ -54,8 +54,12 @@
         return false;
     }
     let peers = view.peers.iter().filter(|p| p.health != Health::Gone);
-    let mut answers: FuturesUnordered<_> = peers
-        .map(|p| ask(&core.peers, p.peers, CLAIMED_PATH, key, WAIT))
+    let addrs = peers.map(|p| p.peers);
+    // A life that was replaced while it was stopping may have run the job, too.
+    let parting = view.parting.iter().map(|(_, addr)| *addr);
+    let mut answers: FuturesUnordered<_> = addrs
+        .chain(parting)
+        .map(|addr| ask(&core.peers, addr, CLAIMED_PATH, key, WAIT))
         .collect();
     while let Some(answer) = answers.next().await {
         if !matches!(answer, Ok(ClaimedReply::Free)) {
--- a/components/membership/src/hear.rs
+++ b/components/membership/src/hear.rs
@@ -10,7 +10,7 @@
 use crate::membership::Membership;
 use crate::peer::Peer;
 use crate::view::Health;
-use crate::vm::{Generation, Vm};
+use crate::vm::{Generation, Presence, Vm};
 
 /// What a hop adds to the age of hearsay.
 const HOP_AGE: Millis = Millis(50);
@@ -99,7 +99,7 @@
     /// Takes all that a heartbeat or its answer says.
     pub(crate) fn hear<N>(&mut self, now: Timestamp, beat: &Beat<N>) {
         if beat.from.id == self.me.id {
-            self.meet_own(now, &beat.from);
+            self.meet_own(now, &beat.from, beat.presence);
             return;
         }
         if self.meet(now, &beat.from, true) {
@@ -144,7 +144,7 @@
 
     fn hear_vm(&mut self, now: Timestamp, news: &VmNews) {
         if news.vm.id == self.me.id {
-            self.meet_own(now, &news.vm);
+            self.meet_own(now, &news.vm, news.presence);
             return;
         }
         if !self.meet(now, &news.vm, false) {
@@ -183,11 +183,12 @@
             Some(_) if fresh && !direct => return false,
             _ => {}
         }
-        let before = peer.incarnation();
+        let before = peer.vm();
+        let presence = peer.presence;
         peer.become_life(vm);
         peer.due = now;
-        if let Some(incarnation) = before {
-            self.part_with(now, incarnation, None);
+        if let Some(old) = before {
+            self.replace(now, &old, presence);
         }
         true
     }
@@ -195,19 +196,31 @@
     /// Meets another life of this VM's own id. A process that has just started
     /// goes ahead of an earlier one whose clock was ahead; any other yields to a
     /// later one.
-    fn meet_own(&mut self, now: Timestamp, vm: &Vm) {
+    fn meet_own(&mut self, now: Timestamp, vm: &Vm, presence: Presence) {
         let me = (self.me.generation, self.me.incarnation);
         if vm.incarnation == self.me.incarnation || self.departed.contains(vm.incarnation) {
             return;
         }
         if vm.is_after(me.0, me.1) {
-            if !self.is_young(now) {
+            // One that is stopping does not outbid the life that follows it.
+            if !self.is_young(now) || self.presence == Presence::Leaving {
                 self.replaced = true;
                 return;
             }
             self.me.generation = Generation(vm.generation.0.saturating_add(1));
         }
-        self.part_with(now, vm.incarnation, None);
+        self.replace(now, vm, presence);
+    }
+
+    /// Notes that another life has replaced one. A life that was stopping may
+    /// still name a successor.
+    fn replace(&mut self, now: Timestamp, old: &Vm, presence: Presence) {
+        match presence {
+            Presence::Leaving => self.parting.add(old, now.after(self.config.absent_after)),
+            Presence::Live => {
+                self.part_with(now, old.incarnation, None);
+            }
+        }
     }
 
     /// Notes what this VM itself has found to be gone.
@@ -234,6 +247,11 @@
             self.replaced |= self.successor.is_none();
             return false;
         }
+        if news.successor.is_some() {
+            self.parting.remove(news.incarnation);
+        } else if self.parting.contains(news.incarnation) {
+            return false;
+        }
         self.departed.add(now, news)
     }
 }
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -9,6 +9,7 @@
 use crate::beat::Beat;
 use crate::config::Config;
 use crate::departed::Departed;
+use crate::parting::Parting;
 use crate::event::{Contact, Counters, Listing, Target};
 use crate::leaving::Leaving;
 use crate::peer::{Peer, SUSPECT_FAILS};
@@ -45,6 +46,8 @@
     pub(crate) leaving: Leaving,
     /// The incarnations gone for good.
     pub(crate) departed: Departed,
+    /// The replaced lives that may still name a successor.
+    pub(crate) parting: Parting,
     /// Whether peers take this process for gone.
     pub(crate) replaced: bool,
     /// What must never happen, or seldom.
@@ -81,6 +84,7 @@
             peers: Peers::default(),
             leaving: Leaving::new(config.leaving_hold),
             departed: Departed::new(),
+            parting: Parting::default(),
             replaced: false,
             counters: Counters::default(),
             started: now,
@@ -226,6 +230,7 @@
             peers,
             leaving: self.leaving_view.1.clone(),
             departed: self.departed_view.1.clone(),
+            parting: self.parting.list(),
         })
     }
 
--- a/components/membership/src/tick.rs
+++ b/components/membership/src/tick.rs
@@ -36,6 +36,9 @@
         self.ticked = now;
         self.leaving.expire(now);
         self.departed.expire(now);
+        for incarnation in self.parting.take_ended(now) {
+            self.part_with(now, incarnation, None);
+        }
         self.give_up(now);
         self.note_departures(now);
         self.count(now);
--- a/components/membership/src/view.rs
+++ b/components/membership/src/view.rs
@@ -84,6 +84,9 @@
     pub leaving: Arc<BTreeSet<MinionId>>,
     /// The incarnations gone for good, each with who took over in the end.
     pub departed: Arc<BTreeMap<Incarnation, Option<Incarnation>>>,
+    /// Lives that another life of their VM's id has replaced while they were
+    /// stopping, each with its address. They may still name a successor.
+    pub parting: Vec<(Incarnation, SocketAddr)>,
 }
 
 impl View {
@@ -98,6 +101,10 @@
                 successor: *successor,
             };
         }
+        let parting = self.parting.iter().find(|p| p.0 == incarnation);
+        if let Some((_, addr)) = parting {
+            return Located::Away(*addr);
+        }
         let same = |p: &&PeerView| p.incarnation == Some(incarnation);
         match self.peers.iter().find(same) {
             Some(p) if p.health == Health::Live => Located::Peer(p.peers),
--- a/components/membership/tests/fleet.rs
+++ b/components/membership/tests/fleet.rs
@@ -345,3 +345,87 @@
     let own = life(&fleet, 0);
     assert_eq!(fleet.view(0).locate(own), Located::Here);
 }
+
+/// Starts a new life of node 1's id while the old one is stopping.
+fn overlapping(fleet: &mut Fleet) -> (Incarnation, usize) {
+    let old = life(fleet, 1);
+    let now = fleet.now;
+    fleet.nodes[1].state.leave(now);
+    fleet.run(Millis(1000));
+    let mut vm = vm("a", 1, 2);
+    vm.callers = common::addr(90);
+    vm.peers = common::addr(90);
+    let new = fleet.start(vm);
+    let mut vms = fleet.vms();
+    vms.remove(1);
+    let now = fleet.now;
+    for node in &mut fleet.nodes {
+        node.state.on_listing(now, listing(&vms));
+    }
+    fleet.run(Millis(3000));
+    (old, new)
+}
+
+#[test]
+fn late_successor() {
+    let mut fleet = Fleet::settled(&["a", "b"], 3);
+    let (old, new) = overlapping(&mut fleet);
+    let at = fleet.nodes[1].vm.peers;
+    for peer in [0, 2, 3, 4, 5] {
+        assert_eq!(fleet.view(peer).locate(old), Located::Away(at));
+    }
+    // The new life has heard nothing of the old one, and concludes nothing.
+    assert_eq!(fleet.view(new).locate(old), Located::NeverSeen);
+    let (now, heir) = (fleet.now, life(&fleet, 2));
+    fleet.nodes[1].state.hand_over(now, heir);
+    fleet.run(Millis(3000));
+    let gone = Located::Gone {
+        successor: Some(heir),
+    };
+    for view in fleet.views().iter().filter(|v| v.me.incarnation != old) {
+        assert_eq!(view.locate(old), gone, "{}", view.me.id);
+        assert!(view.parting.is_empty());
+    }
+}
+
+#[test]
+fn no_successor() {
+    let mut fleet = Fleet::settled(&["a", "b"], 3);
+    let (old, _) = overlapping(&mut fleet);
+    fleet.nodes[1].down = true;
+    fleet.run(Config::default().absent_after);
+    fleet.run(Millis(3000));
+    for view in fleet.views() {
+        assert_eq!(view.locate(old), Located::Gone { successor: None });
+    }
+}
+
+#[test]
+fn successor_wins() {
+    let mut fleet = Fleet::settled(&["a", "b"], 3);
+    let old = life(&fleet, 1);
+    fleet.nodes[1].down = true;
+    fleet.run(Millis(1000));
+    let new = fleet.start(vm("a", 1, 2));
+    fleet.list_all();
+    fleet.run(Millis(3000));
+    assert_eq!(fleet.view(0).locate(old), Located::Gone { successor: None });
+    // The old process was only slow, and names its successor late.
+    let (now, heir) = (fleet.now, life(&fleet, 2));
+    let to = fleet.nodes[0].vm.clone();
+    let target = membership::Target {
+        id: to.id.clone(),
+        addr: to.peers,
+        incarnation: Some(to.incarnation),
+    };
+    fleet.nodes[1].state.hand_over(now, heir);
+    let beat = fleet.nodes[1].state.beat(now, &target, ());
+    fleet.nodes[0].state.on_beat(now, &beat);
+    fleet.run(Millis(3000));
+    let gone = Located::Gone {
+        successor: Some(heir),
+    };
+    for at in [0, 2, 3, new] {
+        assert_eq!(fleet.view(at).locate(old), gone);
+    }
+}
