--- a/components/replay/tests/traces.rs
+++ b/components/replay/tests/traces.rs
@@ -4,11 +4,23 @@
 use std::path::{Path, PathBuf};
 
 use futures::stream::{self, StreamExt};
-use replay::{Trace, play};
+use replay::{Answer, Report, Trace, play};
 
 /// The fleets that run at once.
 const FLEETS: usize = 3;
 
+/// Prints what became of each submission that was not answered completely, so
+/// that a failed run in CI shows why.
+fn tell_unfinished(name: &str, report: &Report) {
+    for sub in &report.submissions {
+        let complete = matches!(sub.answer, Some((_, Answer::Complete)));
+        if !complete {
+            let ends: Vec<_> = sub.attempts.iter().map(|a| (&a.vm, &a.end)).collect();
+            println!("{name}: {} {ends:?}", sub.job);
+        }
+    }
+}
+
 /// Plays a trace and tells its name if it was not good.
 async fn bad(path: PathBuf) -> Option<String> {
     let name = path.file_stem().unwrap().to_string_lossy().into_owned();
@@ -18,6 +30,9 @@
     for miss in &report.misses {
         println!("{name}: {miss}");
     }
+    if !report.summary.good() {
+        tell_unfinished(&name, &report);
+    }
     (!report.summary.good()).then_some(name)
 }
 
