--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -90,8 +90,13 @@
     pub members: membership::Config,
     /// The longest that a planned stop waits for jobs in flight.
     pub stop_wait: Millis,
+    /// The events that the time line remembers; 0 records nothing.
+    pub ring_events: usize,
 }
 
+/// The events that a VM remembers unless told otherwise.
+const RING_EVENTS: usize = 1 << 16;
+
 impl Config {
     /// Makes a configuration on loopback with defaults for all but its names
     /// and the platform.
@@ -110,6 +115,7 @@
             server: ServerLimits::default(),
             members: membership::Config::default(),
             stop_wait: Millis(30_000),
+            ring_events: RING_EVENTS,
         }
     }
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod vm;
 
 pub use api::{BadRequest, KEY_HEADER};
+pub use beat::{Beat, Load};
 pub use config::{Config, JobLimits, LogLimits, StopWait};
 pub use count::Counted;
 pub use status::{ChangeStatus, PeerStatus, ServiceStatus, Status};
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -188,9 +188,6 @@
 /// The longest wait for connections to end after everything was answered.
 const CLOSE_WAIT: std::time::Duration = std::time::Duration::from_secs(2);
 
-/// The events that a VM remembers.
-const RING_EVENTS: usize = 1 << 16;
-
 fn build<C: Connect, P: Policy>(
     cfg: Config,
     routing: RoutingConfig,
@@ -205,7 +202,7 @@
         vm: cfg.id.clone(),
     };
     let clock = SystemClock::new();
-    let ring = RING_EVENTS;
+    let ring = cfg.ring_events;
     let recorder = Recorder::new(cfg.id.clone(), me.incarnation, clock.clone(), ring);
     let fleet = Fleet::new(cfg.domain.clone(), routing, policy);
     let dispatch = Dispatch::new(cfg.domain.clone(), fleet, limits, clock.clone());
--- /dev/null
+++ b/components/slopes/src/figure.rs
@@ -0,0 +1,84 @@
+//! What was measured, at which sizes.
+
+use serde::Serialize;
+
+use crate::fit::Fit;
+
+/// One measurement.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Point {
+    /// The size.
+    pub size: f64,
+    /// The value there.
+    pub value: f64,
+}
+
+/// One cost at several sizes.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Figure {
+    /// What costs.
+    pub name: &'static str,
+    /// The unit of the values.
+    pub unit: &'static str,
+    /// What the sizes count.
+    pub per: &'static str,
+    /// The measurements.
+    pub points: Vec<Point>,
+    /// The line through them.
+    pub fit: Fit,
+}
+
+/// A value with its name and unit.
+pub(crate) type Value = (&'static str, &'static str, f64);
+
+/// Gathers the values measured at each size into figures.
+#[derive(Debug)]
+pub(crate) struct Series {
+    /// What the sizes count.
+    per: &'static str,
+    /// The figures so far.
+    figures: Vec<Figure>,
+}
+
+impl Series {
+    /// Starts without values.
+    pub(crate) fn new(per: &'static str) -> Series {
+        Series {
+            per,
+            figures: Vec::new(),
+        }
+    }
+
+    /// Adds what was measured at a size.
+    pub(crate) fn add(&mut self, size: usize, values: &[Value]) {
+        for &(name, unit, value) in values {
+            let point = Point {
+                size: size as f64,
+                value,
+            };
+            let known = self.figures.iter_mut().find(|f| f.name == name);
+            match known {
+                Some(figure) => figure.points.push(point),
+                None => self.figures.push(self.start(name, unit, point)),
+            }
+        }
+    }
+
+    /// Fits the lines.
+    pub(crate) fn finish(mut self) -> Vec<Figure> {
+        for figure in &mut self.figures {
+            figure.fit = Fit::of(&figure.points);
+        }
+        self.figures
+    }
+
+    fn start(&self, name: &'static str, unit: &'static str, point: Point) -> Figure {
+        Figure {
+            name,
+            unit,
+            per: self.per,
+            points: vec![point],
+            fit: Fit::of(&[point]),
+        }
+    }
+}
--- /dev/null
+++ b/components/slopes/src/lib.rs
@@ -0,0 +1,106 @@
+//! Measures how the costs of an entry VM grow with the size of its fleet, and
+//! fits a line to each. docs/CAPACITY.md works from these lines.
+
+mod bed;
+mod connect;
+mod control;
+mod events;
+mod figure;
+mod fit;
+mod idle;
+mod keys;
+mod minions;
+mod named;
+mod path;
+mod sheets;
+mod usage;
+
+pub use figure::{Figure, Point};
+pub use fit::Fit;
+
+use std::fmt;
+use std::io;
+
+use entry::StartError;
+
+/// Why a measurement could not be made.
+#[derive(Debug)]
+pub enum SlopeError {
+    /// The system gives no port, no thread, or no figures of this process.
+    Io(io::Error),
+    /// An entry VM could not start.
+    Start(StartError),
+    /// The fleet did not become ready in time.
+    NotReady,
+    /// The platform did not take the sheet.
+    Sheet,
+}
+
+impl fmt::Display for SlopeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SlopeError::Io(e) => write!(f, "{e}"),
+            SlopeError::Start(e) => write!(f, "{e}"),
+            SlopeError::NotReady => write!(f, "the fleet did not become ready in time"),
+            SlopeError::Sheet => write!(f, "the platform did not take the sheet"),
+        }
+    }
+}
+
+impl std::error::Error for SlopeError {}
+
+impl From<io::Error> for SlopeError {
+    fn from(e: io::Error) -> SlopeError {
+        SlopeError::Io(e)
+    }
+}
+
+/// What can be measured by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Group {
+    /// Memory and processor time of the table of minions.
+    Minions,
+    /// Claims, tickets and kept answers.
+    Keys,
+    /// Events of the time line.
+    Events,
+    /// Changes of the sheet.
+    Sheet,
+    /// Heartbeats under load, up to 80 VMs in memory.
+    Control,
+    /// Real VMs without jobs, on loopback.
+    Idle,
+    /// Jobs through one real VM, on loopback.
+    Path,
+}
+
+impl Group {
+    /// All groups. Those that look at memory come first, before others leave
+    /// freed memory behind.
+    pub const ALL: [Group; 7] = [
+        Group::Minions,
+        Group::Keys,
+        Group::Events,
+        Group::Sheet,
+        Group::Control,
+        Group::Path,
+        Group::Idle,
+    ];
+
+    /// Measures the group. It must not be called within a runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the machine gives too little.
+    pub fn measure(self) -> Result<Vec<Figure>, SlopeError> {
+        match self {
+            Group::Minions => minions::measure(),
+            Group::Keys => keys::measure(),
+            Group::Events => events::measure(),
+            Group::Sheet => sheets::measure(),
+            Group::Control => control::measure(),
+            Group::Idle => idle::measure(),
+            Group::Path => path::measure(),
+        }
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,6 +7,7 @@
 use crate::cmd::completions::CompletionsArgs;
 use crate::cmd::job::JobCommand;
 use crate::cmd::load::LoadArgs;
+use crate::cmd::slopes::SlopesArgs;
 use crate::cmd::status::StatusArgs;
 use crate::cmd::timeline::TimelineArgs;
 use crate::fleet::FleetArgs;
@@ -54,6 +55,8 @@
     Timeline(TimelineArgs),
     /// Send an open-loop load and measure responses from their intended start.
     Load(LoadArgs),
+    /// Measure how costs grow with the fleet, see docs/CAPACITY.md.
+    Slopes(SlopesArgs),
     /// Write completions for a shell.
     Completions(CompletionsArgs),
     /// Write the man page.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod load;
 pub mod man;
 pub mod serve;
+pub mod slopes;
 pub mod status;
 pub mod timeline;
 
@@ -23,6 +24,7 @@
     match ctl.command {
         Command::Completions(args) => completions::run(&args),
         Command::Man => man::run(),
+        Command::Slopes(args) => slopes::run(args).await,
         Command::Job(command) => job::run(&Fleet::find(&ctl.fleet).await?, command).await,
         Command::Status(args) => status::run(&Fleet::find(&ctl.fleet).await?, &args).await,
         Command::Timeline(args) => timeline::run(&Fleet::find(&ctl.fleet).await?, args).await,
--- /dev/null
+++ b/src/cmd/slopes.rs
@@ -0,0 +1,108 @@
+//! `pomeloctl slopes`: how costs grow with the size of the fleet.
+
+use std::fmt::Write;
+
+use clap::{Args, ValueEnum};
+use serde::Serialize;
+use slopes::{Figure, Group};
+
+use crate::cmd::print;
+use crate::error::CommandError;
+
+/// What to measure.
+#[derive(Debug, Args)]
+pub struct SlopesArgs {
+    /// The groups to measure; all of them by default.
+    pub groups: Vec<GroupName>,
+    /// Write JSON instead of tables.
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// The groups by name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum GroupName {
+    /// The table of minions and the platform's list.
+    Minions,
+    /// Claims, tickets and kept answers.
+    Keys,
+    /// Events of the time line.
+    Events,
+    /// Changes of the sheet.
+    Sheet,
+    /// Heartbeats under load, up to 80 VMs in memory.
+    Control,
+    /// Jobs through one real VM.
+    Path,
+    /// Real VMs without jobs.
+    Idle,
+}
+
+impl GroupName {
+    fn group(self) -> Group {
+        match self {
+            GroupName::Minions => Group::Minions,
+            GroupName::Keys => Group::Keys,
+            GroupName::Events => Group::Events,
+            GroupName::Sheet => Group::Sheet,
+            GroupName::Control => Group::Control,
+            GroupName::Path => Group::Path,
+            GroupName::Idle => Group::Idle,
+        }
+    }
+}
+
+/// Measures, and prints each figure with the line through its points.
+///
+/// # Errors
+///
+/// Fails when the machine gives too little, or standard output fails.
+pub async fn run(args: SlopesArgs) -> Result<(), CommandError> {
+    let groups: Vec<Group> = match args.groups.is_empty() {
+        true => Group::ALL.to_vec(),
+        false => args.groups.iter().map(|g| g.group()).collect(),
+    };
+    for group in groups {
+        let measured = tokio::task::spawn_blocking(move || group.measure()).await;
+        let figures = measured
+            .map_err(CommandError::Task)?
+            .map_err(CommandError::Slope)?;
+        match args.json {
+            true => print(&lines(&figures)?)?,
+            false => print(&table(&figures))?,
+        }
+    }
+    Ok(())
+}
+
+/// Writes a figure a line.
+fn lines(figures: &[Figure]) -> Result<String, CommandError> {
+    let mut text = String::new();
+    for figure in figures {
+        let line = serde_json::to_string(figure).map_err(|e| CommandError::Io(e.into()))?;
+        text.push_str(&line);
+        text.push('\n');
+    }
+    Ok(text)
+}
+
+fn table(figures: &[Figure]) -> String {
+    let mut text = String::new();
+    for figure in figures {
+        let Figure {
+            name, unit, per, ..
+        } = figure;
+        let _ = writeln!(text, "{name} ({unit}) by {per}");
+        for point in &figure.points {
+            let _ = writeln!(text, "{:>12} {:>16.2}", point.size, point.value);
+        }
+        let fit = &figure.fit;
+        let _ = writeln!(
+            text,
+            "    slope {:.4}, intercept {:.2}, residual {:.2}\n",
+            fit.slope, fit.intercept, fit.residual
+        );
+    }
+    text
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -8,6 +8,8 @@
 
 use hyper::StatusCode;
 use settings::SettingsFault;
+use slopes::SlopeError;
+use tokio::task::JoinError;
 use wire::CallError;
 
 /// Why a VM or the platform could not be asked.
@@ -57,6 +59,10 @@
     Part(&'static str),
     /// A second signal cut the planned stop short.
     Cut,
+    /// A measurement could not be made.
+    Slope(SlopeError),
+    /// A part of the program panicked.
+    Task(JoinError),
     /// The command did its work, and the result is not the good one; it has
     /// been printed.
     Bad,
@@ -90,6 +96,8 @@
             CommandError::Logs(e) => write!(f, "logs: {e}"),
             CommandError::Part(name) => write!(f, "no configuration of {name} is installed"),
             CommandError::Cut => write!(f, "stopped at once by a second signal"),
+            CommandError::Slope(e) => write!(f, "{e}"),
+            CommandError::Task(e) => write!(f, "{e}"),
             CommandError::Bad => Ok(()),
         }
     }
