platform: an unchanged list of machines is not sent again

The list has 114 kB at 830 minions and was read twice a second. It is asked for with its entity tag now, and an unchanged one stays the same Arc, so that the tables of minions and quotas are not made anew either.

--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -91,7 +91,7 @@
 async fn read_list<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
     loop {
         if let Ok(listing) = core.platform.list().await {
-            core.take_listing(Arc::new(listing));
+            core.take_listing(listing);
         }
         sleep(LIST_LOOK).await;
     }
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -2,6 +2,7 @@
 //! lagging list of machines. Both are plugged in by trait, so that decisions
 //! can be driven without a network.
 
+mod cache;
 mod client;
 mod error;
 mod message;
@@ -13,6 +14,7 @@
 };
 
 use std::future::Future;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use kernel::{Millis, Offset};
@@ -44,10 +46,11 @@
         wait: Millis,
     ) -> impl Future<Output = Result<Chunk, ReadError>> + Send;
 
-    /// Reads the list of machines, which lags.
+    /// Reads the list of machines, which lags. While it stays the same, so does
+    /// the `Arc`, by which callers see that there is nothing to do.
     ///
     /// # Errors
     ///
     /// Fails when the platform can't be reached or its answer can't be read.
-    fn list(&self) -> impl Future<Output = Result<Listing, ReadError>> + Send;
+    fn list(&self) -> impl Future<Output = Result<Arc<Listing>, ReadError>> + Send;
 }
--- a/components/standins/src/platform.rs
+++ b/components/standins/src/platform.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use crate::listener::{HangUp, Listener, Serve, lock};
-use crate::respond::{empty, json};
+use crate::respond::{empty, json, tagged};
 
 /// How long records stay in the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -260,7 +260,7 @@
     async fn answer(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Cut> {
         let path = req.uri().path();
         if path == LIST_PATH && req.method() == Method::GET {
-            return Ok(json(StatusCode::OK, &self.0.list()));
+            return Ok(tagged(&req, &self.0.list()));
         }
         let name = path.strip_prefix(STREAM_PATH).unwrap_or_default();
         let stream = name
--- a/components/standins/tests/platform.rs
+++ b/components/standins/tests/platform.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -151,7 +152,7 @@
     let (minion, _) = minion(8).await;
     standin.set(Default::default());
     standin.change(|l| l.minions.push(minion.row()));
-    (client.list().await.unwrap().minions, minion.row())
+    (client.list().await.unwrap().minions.clone(), minion.row())
 }
 
 #[tokio::test]
@@ -180,3 +181,27 @@
         assert!(reply.status.is_client_error(), "{path}");
     }
 }
+
+#[tokio::test]
+async fn list_unchanged() {
+    let config = PlatformConfig {
+        lag: Duration::ZERO,
+        ..PlatformConfig::default()
+    };
+    let (standin, client) = start(config).await;
+    let (minion, _) = minion(8).await;
+    standin.set(Default::default());
+    standin.change(|list| list.minions.push(minion.row()));
+    let first = client.list().await.unwrap();
+    let second = client.list().await.unwrap();
+    assert!(Arc::ptr_eq(&first, &second));
+
+    standin.change(|list| list.minions.clear());
+    let third = client.list().await.unwrap();
+    assert!(third.minions.is_empty());
+    assert!(!Arc::ptr_eq(&first, &third));
+
+    // Back to the first state, with the tag of the second one in hand.
+    standin.change(|list| list.minions.push(minion.row()));
+    assert_eq!(client.list().await.unwrap(), first);
+}
