--- a/components/entry/src/pass.rs
+++ b/components/entry/src/pass.rs
@@ -22,6 +22,7 @@
 use crate::core::Core;
 use crate::message::{AWAIT_PATH, Ask, PASS_PATH, POLL_WAIT, Pass, PassReply};
 use crate::submit::{Place, locate};
+use metrics::Count;
 
 /// How long a peer may take over the wait that it was asked for.
 const GRACE: Duration = Duration::from_millis(500);
@@ -113,7 +114,7 @@
     loop {
         let answer = match accepted {
             false => send_pass(core, target, addr, spec, until).await,
-            true => send_await(core, target, addr, spec).await,
+            true => send_await(core, target, addr, spec, until).await,
         };
         match answer {
             Ok(PassReply::Ended(outcome)) => return outcome,
@@ -146,15 +147,15 @@
     let mut spec = spec.clone();
     spec.deadline = Millis((left.as_millis() as u64).max(1));
     let pass = Pass { target, spec };
-    core.counts.message_passed();
-    ask(
-        &core.peers,
-        addr,
-        PASS_PATH,
-        &pass,
-        POLL_WAIT.duration() + GRACE,
-    )
-    .await
+    core.metrics.add(Count::WastePassed, 1);
+    ask(&core.peers, addr, PASS_PATH, &pass, patience(until)).await
+}
+
+/// Returns the longest wait for the owner's next word: it speaks at least once
+/// in [`POLL_WAIT`], and at the job's deadline.
+fn patience(until: Instant) -> Duration {
+    let left = until.saturating_duration_since(Instant::now());
+    POLL_WAIT.duration().min(left) + GRACE
 }
 
 async fn send_await<C: Connect, P: Policy>(
@@ -162,18 +163,12 @@
     target: Incarnation,
     addr: SocketAddr,
     spec: &JobSpec,
+    until: Instant,
 ) -> Result<PassReply, PeerError> {
     let ask_for = Ask {
         target,
         key: spec.key.clone(),
     };
-    core.counts.message_passed();
-    ask(
-        &core.peers,
-        addr,
-        AWAIT_PATH,
-        &ask_for,
-        POLL_WAIT.duration() + GRACE,
-    )
-    .await
+    core.metrics.add(Count::WastePassed, 1);
+    ask(&core.peers, addr, AWAIT_PATH, &ask_for, patience(until)).await
 }
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -24,11 +24,12 @@
 use crate::config::Config;
 use crate::control;
 use crate::core::Core;
-use crate::count::Counts;
 use crate::dispatch::Dispatch;
+use crate::passing::Passing;
 use crate::peers::Peers;
 use crate::sheets::Sheets;
 use crate::stop::stop;
+use metrics::Metrics;
 
 /// Why a VM could not start.
 #[derive(Debug)]
@@ -67,6 +68,10 @@
     callers: SocketAddr,
     /// Where peers reach it.
     peers: SocketAddr,
+    /// Reads the time line.
+    recorder: Recorder,
+    /// Reads what is counted.
+    metrics: Metrics,
     /// Asks for the planned stop.
     stop: mpsc::Sender<Millis>,
     /// True once stopped.
@@ -114,6 +119,16 @@
         self.peers
     }
 
+    /// Returns the VM's time line.
+    pub fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    /// Returns what the VM counts.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Stops the VM as planned; jobs that have not ended within `wait` are cut
     /// off. It returns once all is handed over and answered.
     pub async fn stop(&self, wait: Millis) {
@@ -162,6 +177,8 @@
         incarnation: core.me.incarnation,
         callers: callers_addr,
         peers: peers_addr,
+        recorder: core.recorder.clone(),
+        metrics: core.metrics.clone(),
         stop: ask,
         stopped,
     };
@@ -202,7 +219,7 @@
         vm: cfg.id.clone(),
     };
     let clock = SystemClock::new();
-    let ring = cfg.ring_events;
+    let ring = cfg.ring;
     let recorder = Recorder::new(cfg.id.clone(), me.incarnation, clock.clone(), ring);
     let fleet = Fleet::new(cfg.domain.clone(), routing, policy);
     let dispatch = Dispatch::new(cfg.domain.clone(), fleet, limits, clock.clone());
@@ -232,8 +249,9 @@
         dispatch: Arc::new(dispatch),
         listing: ArcSwapOption::empty(),
         sheets: Sheets::new(cfg.log.retention, recorder.clone()),
+        passing: Passing::default(),
         recorder,
-        counts: Counts::default(),
+        metrics: Metrics::new(),
         stage: AtomicU8::new(0),
         me,
         clock,
--- a/components/entry/tests/bad_input.rs
+++ b/components/entry/tests/bad_input.rs
@@ -112,7 +112,7 @@
     let missing = json!([{"id": "a"}, {"payload": 1}]);
     refused(&fleet, &with("tasks", missing), "tasks[1].id").await;
     assert_eq!(fleet.ledger.count(), 0);
-    assert_eq!(fleet.status(0).await["counts"]["bad_requests"], 24);
+    assert_eq!(fleet.status(0).await["counts"]["requests.refused"], 24);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -139,7 +139,7 @@
         assert_eq!(answer["field"], "Idempotency-Key", "{answer}");
     }
     assert_eq!(fleet.ledger.count(), 0);
-    assert_eq!(fleet.status(0).await["counts"]["bad_requests"], 6);
+    assert_eq!(fleet.status(0).await["counts"]["requests.refused"], 6);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -223,7 +223,9 @@
             (b"\x00\x01garbage", 400),
             (b"\x00\x07\xc0", 426),
         ] {
-            for path in ["pass", "await", "find", "cancel", "beat", "handover"] {
+            for path in [
+                "pass", "await", "find", "cancel", "claimed", "beat", "handover",
+            ] {
                 let req = Request::post(format!("/peer/v1/{path}"))
                     .header("host", "vm")
                     .body(Full::new(Bytes::copy_from_slice(body)))
@@ -236,5 +238,7 @@
     };
     let (running, ()) = tokio::join!(running, messages);
     assert_eq!(running.0, 200, "{running:?}");
-    assert_eq!(fleet.status(0).await["counts"]["broken"], 24);
+    let counts = fleet.status(0).await["counts"].clone();
+    assert_eq!(counts["waste.broken"], 21);
+    assert_eq!(counts["waste.version"], 7);
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod held;
 mod lease;
 mod minion;
+mod outliers;
 mod packed;
 mod policy;
 mod remote;
--- a/components/routing/src/packed.rs
+++ b/components/routing/src/packed.rs
@@ -26,7 +26,11 @@
         bytes.extend(counts);
         return to.serialize_bytes(&bytes);
     }
-    bytes.push(if counts.len() % 2 == 0 { EVEN } else { ODD });
+    bytes.push(if counts.len().is_multiple_of(2) {
+        EVEN
+    } else {
+        ODD
+    });
     let pair = |two: &[u8]| two[0] << 4 | two.get(1).copied().unwrap_or(0);
     bytes.extend(counts.chunks(2).map(pair));
     to.serialize_bytes(&bytes)
--- a/components/slopes/src/bed.rs
+++ b/components/slopes/src/bed.rs
@@ -117,7 +117,7 @@
             let domain = named::domain(n % plan.domains);
             let id = named::vm_id(&domain, n);
             let mut config = Config::new(id, domain.clone(), addr);
-            config.ring_events = plan.events;
+            config.ring = plan.events;
             let connect = CountingConnect {
                 platform: addr,
                 traffic: self.traffic.clone(),
--- a/components/slopes/src/idle.rs
+++ b/components/slopes/src/idle.rs
@@ -74,7 +74,7 @@
         domains: DOMAINS,
         minions: named::minion_rows(minions, DOMAINS),
         teams,
-        events: 1 << 16,
+        events: 1 << 14,
     }
 }
 
--- a/components/slopes/src/path.rs
+++ b/components/slopes/src/path.rs
@@ -42,7 +42,7 @@
 const TASKS: usize = 20;
 
 /// The events that a VM remembers by default.
-const EVENTS: usize = 1 << 16;
+const EVENTS: usize = 1 << 14;
 
 /// The longest wait for tasks to be in flight.
 const FLIGHT_WAIT: Duration = Duration::from_secs(4);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,6 +7,8 @@
 use crate::cmd::completions::CompletionsArgs;
 use crate::cmd::job::JobCommand;
 use crate::cmd::load::LoadArgs;
+use crate::cmd::replay::{ReplayArgs, SoakArgs};
+use crate::cmd::sheet::SheetCommand;
 use crate::cmd::slopes::SlopesArgs;
 use crate::cmd::status::StatusArgs;
 use crate::cmd::timeline::TimelineArgs;
@@ -46,6 +48,9 @@
 /// What the operators' tool can do.
 #[derive(Debug, Subcommand)]
 pub enum Command {
+    /// Check, show or publish the planners' sheet.
+    #[command(subcommand)]
+    Sheet(SheetCommand),
     /// Submit, show or cancel a job.
     #[command(subcommand)]
     Job(JobCommand),
@@ -55,6 +60,12 @@
     Timeline(TimelineArgs),
     /// Send an open-loop load and measure responses from their intended start.
     Load(LoadArgs),
+    /// Run a short morning on a fleet inside this process.
+    Demo,
+    /// Play a trace on a fleet inside this process.
+    Replay(ReplayArgs),
+    /// Play random traces on a fleet inside this process.
+    Soak(SoakArgs),
     /// Measure how costs grow with the fleet, see docs/CAPACITY.md.
     Slopes(SlopesArgs),
     /// Write completions for a shell.
