--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod vm;
 
 pub use api::{BadRequest, KEY_HEADER};
+pub use beat::{Beat, Load};
 pub use config::{Config, JobLimits, LogLimits, StopWait};
 pub use status::{ChangeStatus, PeerStatus, ServiceStatus, Status};
 pub use vm::{StartError, Vm};
--- a/components/routing/src/digest.rs
+++ b/components/routing/src/digest.rs
@@ -9,9 +9,9 @@
 /// The most minions of which a digest carries evidence.
 pub(crate) const MAX_EVIDENCE: usize = 32;
 
-/// A VM's view in at most about two kilobytes: two bytes a minion of its
-/// domain, 14 for each of at most 32 suspects and 4 for each of at most 128
-/// grants.
+/// A VM's view in at most about two kilobytes: one byte a minion of its domain
+/// (two with more than 15 slots), 14 for each of at most 32 suspects and 4 for
+/// each of at most 128 grants.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Digest {
     /// The sender's domain; `None` only in the empty digest.
@@ -19,8 +19,10 @@
     /// A hash of the domain's minions, in whose order `loads` stands.
     pub members: u64,
     /// The sender's tasks on each minion of its domain, in the order of ids.
+    #[serde(with = "crate::packed")]
     pub loads: Vec<u8>,
     /// The slots that the sender has on lease there, in the same order.
+    #[serde(with = "crate::packed")]
     pub leases: Vec<u8>,
     /// Leases that the sender hands over with this digest; `leases` is less
     /// by them.
@@ -37,6 +39,19 @@
     pub evidence: Vec<Evidence>,
 }
 
+impl Digest {
+    /// Returns what a VM of another domain reads of this: whether there is
+    /// room. The rest speaks of minions of the sender's domain.
+    pub fn abroad(&self) -> Digest {
+        Digest {
+            domain: self.domain.clone(),
+            free: self.free,
+            slots: self.slots,
+            ..Digest::default()
+        }
+    }
+}
+
 /// Leases handed over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod lease;
 mod minion;
 mod outliers;
+mod packed;
 mod policy;
 mod remote;
 mod shared;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -9,6 +9,7 @@
 use crate::cmd::load::LoadArgs;
 use crate::cmd::replay::ReplayArgs;
 use crate::cmd::sheet::SheetCommand;
+use crate::cmd::slopes::SlopesArgs;
 use crate::cmd::soak::SoakArgs;
 use crate::cmd::status::StatusArgs;
 use crate::cmd::timeline::TimelineArgs;
@@ -66,6 +67,8 @@
     Replay(ReplayArgs),
     /// Play random traces on a fleet inside this process.
     Soak(SoakArgs),
+    /// Measure how costs grow with the fleet, see docs/CAPACITY.md.
+    Slopes(SlopesArgs),
     /// Write completions for a shell.
     Completions(CompletionsArgs),
     /// Write the man page.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod replay;
 pub mod serve;
 pub mod sheet;
+pub mod slopes;
 pub mod soak;
 pub mod status;
 pub mod timeline;
@@ -30,6 +31,7 @@
         Command::Demo => replay::demo().await,
         Command::Replay(args) => replay::run(&args).await,
         Command::Soak(args) => soak::run(&args).await,
+        Command::Slopes(args) => slopes::run(args).await,
         Command::Job(command) => job::run(&Fleet::find(&ctl.fleet).await?, command).await,
         Command::Status(args) => status::run(&Fleet::find(&ctl.fleet).await?, &args).await,
         Command::Timeline(args) => timeline::run(&Fleet::find(&ctl.fleet).await?, args).await,
