entry: digests in rounds to all VMs of the domain, hastened where tasks wait

A digest hands leases over and counts once, but went to whichever peer was due or asked, so that grants to the others were lost. Heartbeats and their answers repeat the last quota digests by serial, and other domains hear of free slots, which they did not before.

Tasks that a quota holds back no longer count as wishes once for every look, nor as tasks that wait for a minion.

pomeloctl experiment: the policies side by side on embedded fleets (not run yet).

--- a/components/entry/src/beat.rs
+++ b/components/entry/src/beat.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use limits::QuotaDigest;
 use membership::{Contact, ListedVm, Listing, Presence, Target};
-use routing::{Digest, Policy};
+use routing::Policy;
 use serde::{Deserialize, Serialize};
 use timeline::Stamp;
 use wire::{CallError, Connect};
 
 use crate::core::Core;
+use crate::digests::{Told, take_quotas};
 use crate::message::{BEAT_PATH, PeerState, STATE_PATH};
 use crate::pass::{PeerError, ask};
 use metrics::Count;
@@ -26,14 +26,8 @@
 /// What a heartbeat carries besides membership.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Load {
-    /// The sender's use of minions and what it knows of their health.
-    pub fleet: Digest,
-    /// The sender's use of the teams' quotas.
-    pub teams: QuotaDigest,
-    /// The sender's use of the teams' quotas in its domain.
-    pub home_teams: QuotaDigest,
-    /// The sender's use of the services' slots in its domain.
-    pub services: QuotaDigest,
+    /// The sender's use of slots and quotas, as it was last told.
+    pub told: Arc<Told>,
     /// The sender's hybrid logical clock.
     pub stamp: Stamp,
 }
@@ -62,13 +56,8 @@
 }
 
 fn load<C: Connect, P: Policy>(core: &Core<C, P>) -> Load {
-    let now = core.now();
-    let dispatch = &core.dispatch;
     Load {
-        fleet: dispatch.fleet.digest(now),
-        teams: dispatch.teams.digest(now),
-        home_teams: dispatch.home_teams.digest(now),
-        services: dispatch.services.digest(now),
+        told: core.digests.last(),
         stamp: core.recorder.stamp(),
     }
 }
@@ -84,7 +73,6 @@
     if targets.is_empty() {
         return;
     }
-    // One digest goes to all, as digests are counted.
     let load = load(core);
     for target in targets {
         tokio::spawn(beat_one(core.clone(), target, load.clone()));
@@ -151,16 +139,13 @@
 
 /// Takes in what a heartbeat carries besides membership.
 fn learn<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, beat: &Beat) {
-    let now = core.now();
-    let from = &beat.from.id;
     let load = &beat.note;
-    let dispatch = &core.dispatch;
     core.recorder.observe(load.stamp);
-    dispatch.teams.absorb(from, &load.teams, now);
-    if beat.from.domain == core.cfg.domain {
-        dispatch.fleet.absorb(from, &load.fleet, now);
-        dispatch.home_teams.absorb(from, &load.home_teams, now);
-        dispatch.services.absorb(from, &load.services, now);
+    let near = beat.from.domain == core.cfg.domain;
+    take_quotas(core, &beat.from.id, &load.told, near);
+    if !near {
+        let fleet = &core.dispatch.fleet;
+        fleet.absorb(&beat.from.id, &load.told.fleet, core.now());
     }
     if beat.sheet > core.sheets.version() {
         tokio::spawn(pull(core.clone(), beat.from.peers));
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -19,6 +19,7 @@
 use crate::beat::{ask_peers, beat_due, greet};
 use crate::claimer::Applied;
 use crate::core::Core;
+use crate::digests;
 use crate::levels;
 use crate::message::CLAIMS_PATH;
 use crate::message::ClaimsReply;
@@ -49,6 +50,7 @@
 pub fn start<C: Connect, P: Policy>(core: &Arc<Core<C, P>>) {
     tokio::spawn(serve_queues(core.clone()));
     tokio::spawn(send_beats(core.clone()));
+    tokio::spawn(digests::send_rounds(core.clone()));
     tokio::spawn(greet_seeds(core.clone()));
     tokio::spawn(read_list(core.clone()));
     tokio::spawn(read_sheets(core.clone()));
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -16,6 +16,7 @@
 use crate::claimer::Claimer;
 use crate::config::Config;
 use crate::count;
+use crate::digests::Digests;
 use crate::dispatch::Dispatch;
 use crate::passing::Passing;
 use crate::run::Run;
@@ -57,6 +58,8 @@
     pub claimer: Claimer,
     /// Queues and slots.
     pub dispatch: Arc<Dispatch<P>>,
+    /// What was last told of slots and quotas.
+    pub digests: Digests,
     /// Decides whom to believe in; never locked on the request path.
     pub members: Mutex<Membership<Xoshiro256PlusPlus>>,
     /// The platform's list of machines, as last read.
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -234,11 +234,40 @@
         drop(dropped);
     }
 
-    /// Tells the fleet how many tasks wait, which decides about other domains.
+    /// Tells the fleet how many tasks wait for a minion, which decides about
+    /// leases and other domains. A task that a quota holds back needs neither.
     fn tell_waiting(&self) {
         for line in self.lines.load().values() {
-            self.fleet
-                .set_waiting(&line.service, line.waiting.load(Ordering::Relaxed));
+            let tasks = match line.waiting.load(Ordering::Relaxed) {
+                0 => 0,
+                _ => self.startable(line),
+            };
+            self.fleet.set_waiting(&line.service, tasks);
+        }
+    }
+
+    /// Counts the waiting tasks that only lack a minion.
+    fn startable(&self, line: &Line<P>) -> usize {
+        let queue = lock(&line.queue);
+        let room = |team: &Team| self.teams.room(team).min(self.home_teams.room(team));
+        let tasks: usize = queue.by_team().map(|(t, n)| n.min(room(t))).sum();
+        tasks.min(self.services.room(&as_team(&line.service)))
+    }
+
+    /// Notes for the next digests which quotas tasks wait for. Once a digest
+    /// is enough: a look for each free slot would count a task many times.
+    pub fn tell_wants(&self) {
+        let mut wants: HashMap<Team, usize> = HashMap::default();
+        for line in self.waiting_lines() {
+            let queue = lock(&line.queue);
+            for (team, tasks) in queue.by_team() {
+                *wants.entry(team.clone()).or_default() += tasks;
+            }
+            want(&self.services, &as_team(&line.service), queue.len());
+        }
+        for (team, tasks) in &wants {
+            want(&self.teams, team, *tasks);
+            want(&self.home_teams, team, *tasks);
         }
     }
 
@@ -278,7 +307,7 @@
         avoid: &[MinionId],
     ) -> Option<Held<P>> {
         let team = self.team(team)?;
-        let service = self.services.acquire(&as_team(&line.service)).ok()?;
+        let service = self.services.try_acquire(&as_team(&line.service)).ok()?;
         let now = self.clock.now();
         let slot = self.fleet.acquire(&line.service, cores, avoid, now).ok()?;
         Some(self.hold(line, slot, team, service))
@@ -286,8 +315,8 @@
 
     /// Takes what a team may hold.
     fn team(&self, team: &Team) -> Option<(QuotaGuard, QuotaGuard)> {
-        let all = self.teams.acquire(team).ok()?;
-        let home = self.home_teams.acquire(team).ok()?;
+        let all = self.teams.try_acquire(team).ok()?;
+        let home = self.home_teams.try_acquire(team).ok()?;
         Some((all, home))
     }
 
@@ -348,7 +377,7 @@
     fn drain(self: &Arc<Self>, line: &Arc<Line<P>>, queue: &mut Queue<Waiter<P>>) {
         while !queue.is_empty() {
             let now = self.clock.now();
-            let Ok(service) = self.services.acquire(&as_team(&line.service)) else {
+            let Ok(service) = self.services.try_acquire(&as_team(&line.service)) else {
                 return;
             };
             let Ok(slot) = self.fleet.acquire(&line.service, Cores(0), &[], now) else {
@@ -429,6 +458,13 @@
         .unwrap_or_else(|_| unreachable!("{text} is a service's name"))
 }
 
+/// Asks for slots of a quota that is used up here.
+fn want(quotas: &Quotas, team: &Team, tasks: usize) {
+    if !quotas.has_room(team) {
+        quotas.want(team, tasks);
+    }
+}
+
 fn refusal(why: Unavailable, task: &TaskSpec) -> Reason {
     match why {
         Unavailable::NoMinion => Reason::NoMinion,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod control;
 mod core;
 mod count;
+mod digests;
 mod dispatch;
 mod drive;
 mod levels;
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -18,6 +18,8 @@
 pub const FIND_PATH: &str = "/peer/v1/find";
 /// Exchanges heartbeats.
 pub const BEAT_PATH: &str = "/peer/v1/beat";
+/// Tells peers of the domain of leases and quotas.
+pub const DIGEST_PATH: &str = "/peer/v1/digest";
 /// Asks for the sheet and the machines known.
 pub const STATE_PATH: &str = "/peer/v1/state";
 /// Asks for the claims known.
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -21,11 +21,12 @@
 use crate::beat::{Beat, answer_beat};
 use crate::confirm::claimed_here;
 use crate::core::{Core, Stage};
+use crate::digests::{Round, take_round};
 use crate::lookup::{Found, cancel_here, find_here};
 use crate::message::{
-    AWAIT_PATH, Ask, BEAT_PATH, CANCEL_PATH, CLAIMED_PATH, CLAIMS_PATH, ClaimsReply, FIND_PATH,
-    HANDOVER_PATH, HandOver, HandOverReply, PASS_PATH, POLL_WAIT, Pass, PassReply, PeerState,
-    STATE_PATH,
+    AWAIT_PATH, Ask, BEAT_PATH, CANCEL_PATH, CLAIMED_PATH, CLAIMS_PATH, ClaimsReply, DIGEST_PATH,
+    FIND_PATH, HANDOVER_PATH, HandOver, HandOverReply, PASS_PATH, POLL_WAIT, Pass, PassReply,
+    PeerState, STATE_PATH,
 };
 use crate::run::Run;
 use crate::submit::{Bar, enter};
@@ -66,6 +67,7 @@
             FIND_PATH => self.find(&body),
             CANCEL_PATH => self.cancel(&body).await,
             BEAT_PATH => self.beat(&body),
+            DIGEST_PATH => self.digest(&body),
             STATE_PATH => write(&PeerState {
                 sheet: self.core.sheets.snapshot(),
                 listing: self.core.listing.load_full(),
@@ -142,6 +144,16 @@
         }
     }
 
+    fn digest(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        match self.read::<Round>(body) {
+            Ok(round) => {
+                take_round(&self.core, &round);
+                write(&())
+            }
+            Err(res) => *res,
+        }
+    }
+
     fn take_over(&self, body: &[u8]) -> Response<Full<Bytes>> {
         let left: HandOver = match self.read(body) {
             Ok(left) => left,
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -24,6 +24,7 @@
 use crate::config::Config;
 use crate::control;
 use crate::core::Core;
+use crate::digests::Digests;
 use crate::dispatch::Dispatch;
 use crate::passing::Passing;
 use crate::peers::Peers;
@@ -249,6 +250,7 @@
         dispatch: Arc::new(dispatch),
         listing: ArcSwapOption::empty(),
         sheets: Sheets::new(cfg.log.retention, recorder.clone()),
+        digests: Digests::default(),
         passing: Passing::default(),
         recorder,
         metrics: Metrics::new(),
--- a/components/limits/src/cell.rs
+++ b/components/limits/src/cell.rs
@@ -11,7 +11,7 @@
     /// The limit and the count. One word holds both, so that a slot can't be
     /// lent to a peer and taken here at once.
     word: AtomicU64,
-    /// Refusals since the last digest.
+    /// Slots asked for since the last digest and not got.
     wanted: AtomicU32,
     /// Slots given back that nobody held.
     broken: AtomicU32,
@@ -28,11 +28,17 @@
 impl Cell {
     /// Takes a slot if the limit allows.
     pub(crate) fn take(&self) -> bool {
-        let taken = self.change(|limit, held| (held < limit).then(|| (limit, held + 1)));
-        if !taken {
-            self.wanted.fetch_add(1, Ordering::Relaxed);
-        }
-        taken
+        self.change(|limit, held| (held < limit).then(|| (limit, held + 1)))
+    }
+
+    /// Notes that one more slot is asked for.
+    pub(crate) fn want_more(&self) {
+        self.wanted.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes that so many slots are asked for, unless more are already.
+    pub(crate) fn want(&self, slots: u32) {
+        self.wanted.fetch_max(slots, Ordering::Relaxed);
     }
 
     /// Gives a slot back.
@@ -63,7 +69,7 @@
         split(self.word.load(Ordering::SeqCst))
     }
 
-    /// Returns the refusals since the last call.
+    /// Returns the slots asked for since the last call.
     pub(crate) fn take_wanted(&self) -> u32 {
         self.wanted.swap(0, Ordering::Relaxed)
     }
--- a/components/limits/src/queue.rs
+++ b/components/limits/src/queue.rs
@@ -68,6 +68,8 @@
 struct Line {
     /// Tasks started, on the scale of [`Queue::turn`].
     turn: u64,
+    /// Waiting tasks.
+    tasks: usize,
     /// Its jobs by rank and serial.
     jobs: BTreeSet<(u64, u64)>,
 }
@@ -128,6 +130,11 @@
         self.lines.len()
     }
 
+    /// Returns the teams that wait, with the number of their tasks.
+    pub fn by_team(&self) -> impl Iterator<Item = (&Team, usize)> {
+        self.lines.iter().map(|(team, line)| (team, line.tasks))
+    }
+
     /// Counts the tasks of a job.
     pub fn len_of(&self, job: &JobKey) -> usize {
         let serial = self.serials.get(job);
@@ -161,6 +168,9 @@
         let item = job.items.pop_front()?;
         let (team, left) = (job.team.clone(), job.items.len());
         self.len -= 1;
+        if let Some(line) = self.lines.get_mut(&team) {
+            line.tasks -= 1;
+        }
         self.turn = self.turn.max(turn);
         self.advance(&team);
         if left == 0 {
@@ -219,6 +229,9 @@
         };
         job.items.push_back(item);
         let left = left.max(job.items.len());
+        if let Some(line) = self.lines.get_mut(&job.team) {
+            line.tasks += 1;
+        }
         self.rerank(serial, left);
     }
 
@@ -240,8 +253,10 @@
         let turn = self.turn;
         let line = self.lines.entry(team.clone()).or_insert_with(|| Line {
             turn,
+            tasks: 0,
             jobs: BTreeSet::new(),
         });
+        line.tasks += 1;
         line.jobs.insert((job.rank, serial));
         self.turns.insert((line.turn, team));
         self.jobs.insert(serial, job);
@@ -285,6 +300,7 @@
         self.deadlines.remove(&(job.deadline, serial));
         self.serials.remove(&job.key);
         if let Some(line) = self.lines.get_mut(&job.team) {
+            line.tasks -= job.items.len();
             line.jobs.remove(&(job.rank, serial));
             if line.jobs.is_empty() {
                 self.turns.remove(&(line.turn, job.team.clone()));
--- a/components/limits/src/quota.rs
+++ b/components/limits/src/quota.rs
@@ -138,6 +138,7 @@
             return Ok(QuotaGuard { cell: None });
         };
         if !cell.take() {
+            cell.want_more();
             self.refused.fetch_add(1, Ordering::Relaxed);
             return Err(OverQuota);
         }
@@ -146,15 +147,42 @@
         })
     }
 
-    /// Tells whether a slot could be taken now, without asking peers for one.
-    pub fn has_room(&self, team: &Team) -> bool {
+    /// Takes a slot of a team's quota without asking peers for one, so that a
+    /// task that waits can look often. What waits is told by [`Quotas::want`].
+    ///
+    /// # Errors
+    ///
+    /// [`OverQuota`] when the team holds as many as this VM may give it.
+    pub fn try_acquire(&self, team: &Team) -> Result<QuotaGuard, OverQuota> {
+        let cell = self.cells.load().get(team).cloned();
+        match cell {
+            Some(cell) if !cell.take() => Err(OverQuota),
+            cell => Ok(QuotaGuard { cell }),
+        }
+    }
+
+    /// Notes for the next digest how many tasks wait for a slot of a team.
+    pub fn want(&self, team: &Team, tasks: usize) {
+        if let Some(cell) = self.cells.load().get(team) {
+            cell.want(u32::try_from(tasks).unwrap_or(u32::MAX));
+        }
+    }
+
+    /// Counts the slots that could be taken now; a team without a quota has no
+    /// bound.
+    pub fn room(&self, team: &Team) -> usize {
         let cells = self.cells.load();
-        cells.get(team).is_none_or(|cell| {
+        cells.get(team).map_or(usize::MAX, |cell| {
             let (limit, held) = cell.read();
-            held < limit
+            limit.saturating_sub(held) as usize
         })
     }
 
+    /// Tells whether a slot could be taken now, without asking peers for one.
+    pub fn has_room(&self, team: &Team) -> bool {
+        self.room(team) > 0
+    }
+
     /// Decides what to lend and sums it up for the heartbeats to other VMs.
     /// The same digest goes to all of them.
     pub fn digest(&self, now: Timestamp) -> QuotaDigest {
--- a/components/limits/tests/queue.rs
+++ b/components/limits/tests/queue.rs
@@ -163,3 +163,37 @@
         prop_assert!(started.iter().all(|&n| n == 20));
     }
 }
+
+proptest! {
+    /// The tasks counted by team are those that wait.
+    #[test]
+    fn counts_by_team(
+        ops in prop::collection::vec((0..4usize, 0..3usize, 0..6usize, 1..5usize), 1..60),
+    ) {
+        let mut queue = Queue::new(1000);
+        let mut counts = [0usize; 3];
+        for (op, at, job, tasks) in ops {
+            // A job is of one team.
+            let job = job * 3 + at;
+            match op {
+                0 | 1 => {
+                    add(&mut queue, at, job, 0, tasks);
+                    counts[at] += tasks;
+                }
+                2 => counts[at] -= queue.cancel(&key(job)).len(),
+                _ => {
+                    if let Some(job) = pop(&mut queue) {
+                        counts[job % 3] -= 1;
+                    }
+                }
+            }
+            let told: usize = queue.by_team().map(|(_, n)| n).sum();
+            prop_assert_eq!(told, queue.len());
+            for (i, count) in counts.iter().enumerate() {
+                let mut teams = queue.by_team();
+                let told = teams.find(|(t, _)| **t == team(i)).map_or(0, |(_, n)| n);
+                prop_assert_eq!(told, *count);
+            }
+        }
+    }
+}
--- a/components/limits/tests/quota.rs
+++ b/components/limits/tests/quota.rs
@@ -165,3 +165,22 @@
         prop_assert!(held(&fleet) <= quota + part);
     }
 }
+
+#[test]
+fn looks_not_wanted() {
+    let fleet = fleet(6);
+    let _held = fill(&fleet[0]);
+    beat(&fleet, 0, 0, 0);
+    for _ in 0..100 {
+        assert!(fleet[0].try_acquire(&team(0)).is_err());
+    }
+    let digest = fleet[0].digest(Timestamp(1000));
+    assert!(digest.teams.iter().all(|t| t.want == 0), "{digest:?}");
+    for _ in 0..100 {
+        fleet[0].want(&team(0), 4);
+    }
+    let digest = fleet[0].digest(Timestamp(2000));
+    assert_eq!(digest.teams[0].want, 4);
+    assert_eq!(fleet[0].room(&team(0)), 0);
+    assert_eq!(fleet[0].room(&team(9)), usize::MAX);
+}
--- a/components/metrics/src/name.rs
+++ b/components/metrics/src/name.rs
@@ -51,6 +51,7 @@
         MinionEjected, "minions.ejected", "Ejections of minions as outliers.";
         SheetRefused, "sheet.refused", "Changes of the sheet that were refused.";
         HeartbeatSent, "peers.heartbeats", "Heartbeats sent to peers.";
+        DigestSent, "peers.digests", "Digests sent to peers of the domain.";
         EventMissed, "timeline.missed", "Events that the time line could not record.";
         WasteNotStarted, "waste.not_started", "Tasks sent that a minion turned away or that never left.";
         WasteResent, "waste.resent", "Tasks sent again after they provably did not start.";
--- a/components/replay/src/fleet.rs
+++ b/components/replay/src/fleet.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 use kernel::{Cores, Domain, HashMap, Millis, MinionId, VmId};
 use platform::{Listing, Presence, VmRow};
+use routing::RoutingConfig;
 use standins::{
     Endpoint, Hops, Ledger, MinionConfig, MinionStandin, Net, PlatformConfig, PlatformStandin,
 };
@@ -47,6 +48,8 @@
     doors: Doors,
     /// When planned stops began.
     stops: Vec<(VmId, Instant)>,
+    /// How the VMs pick minions.
+    routing: RoutingConfig,
 }
 
 impl Fleet {
@@ -56,6 +59,18 @@
     ///
     /// Fails when something can't start or does not become ready.
     pub async fn start(plan: &FleetPlan) -> Result<Fleet, LaunchError> {
+        Fleet::start_with(plan, RoutingConfig::default()).await
+    }
+
+    /// Starts a fleet whose VMs pick minions as these settings say.
+    ///
+    /// # Errors
+    ///
+    /// Fails when something can't start or does not become ready.
+    pub async fn start_with(
+        plan: &FleetPlan,
+        routing: RoutingConfig,
+    ) -> Result<Fleet, LaunchError> {
         let platform = PlatformStandin::start(PlatformConfig::default()).await?;
         let net = Net::new(HOPS);
         net.register(platform.addr(), Endpoint::platform());
@@ -68,6 +83,7 @@
             rows: HashMap::default(),
             doors: Doors::default(),
             stops: Vec::new(),
+            routing,
         };
         fleet.start_minions(plan).await?;
         first_sheet(&fleet.net, fleet.platform.addr()).await;
@@ -84,6 +100,11 @@
         &self.net
     }
 
+    /// Counts the tasks that run on minions now.
+    pub fn running(&self) -> u32 {
+        self.minions.values().map(MinionStandin::running).sum()
+    }
+
     /// Returns the platform.
     pub fn platform(&self) -> &PlatformStandin {
         &self.platform
@@ -171,10 +192,13 @@
             same.callers = row.callers;
             same.peers = row.peers;
         }
-        let vm = match EmbeddedVm::start(same, self.net.at(at.clone())).await {
+        let vm = match EmbeddedVm::start(same, self.routing.clone(), self.net.at(at.clone())).await
+        {
             Ok(vm) => vm,
             // The old address is not free yet.
-            Err(LaunchError::Start(_)) => EmbeddedVm::start(any, self.net.at(at.clone())).await?,
+            Err(LaunchError::Start(_)) => {
+                EmbeddedVm::start(any, self.routing.clone(), self.net.at(at.clone())).await?
+            }
             Err(e) => return Err(e),
         };
         let row = vm.row();
--- a/components/replay/src/vm.rs
+++ b/components/replay/src/vm.rs
@@ -66,13 +66,17 @@
     /// # Errors
     ///
     /// Fails when an address can't be bound or the system gives no threads.
-    pub async fn start(config: Config, net: Net) -> Result<EmbeddedVm, LaunchError> {
+    pub async fn start(
+        config: Config,
+        routing: RoutingConfig,
+        net: Net,
+    ) -> Result<EmbeddedVm, LaunchError> {
         let runtime = Builder::new_multi_thread()
             .worker_threads(VM_THREADS)
             .enable_all()
             .build()?;
         let domain = config.domain.clone();
-        let (routing, limits) = (RoutingConfig::default(), LimitsConfig::default());
+        let limits = LimitsConfig::default();
         let start = runtime.spawn(Vm::start(config, routing, limits, net));
         // The guard shuts the runtime down if the start fails.
         let mut guard = Guard(Some(runtime));
--- a/components/routing/src/digest.rs
+++ b/components/routing/src/digest.rs
@@ -37,6 +37,19 @@
     pub evidence: Vec<Evidence>,
 }
 
+impl Digest {
+    /// Returns what other domains and heartbeats need to know. Leases and
+    /// loads are left out, as a grant may count only once.
+    pub fn summary(&self) -> Digest {
+        Digest {
+            domain: self.domain.clone(),
+            free: self.free,
+            slots: self.slots,
+            ..Digest::default()
+        }
+    }
+}
+
 /// Leases handed over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,6 +5,7 @@
 use clap::{Parser, Subcommand};
 
 use crate::cmd::completions::CompletionsArgs;
+use crate::cmd::experiment::ExperimentArgs;
 use crate::cmd::job::JobCommand;
 use crate::cmd::load::LoadArgs;
 use crate::cmd::replay::{ReplayArgs, SoakArgs};
@@ -65,6 +66,8 @@
     Replay(ReplayArgs),
     /// Play random traces on a fleet inside this process.
     Soak(SoakArgs),
+    /// Compare the policies under load and faults on fleets inside this process.
+    Experiment(ExperimentArgs),
     /// Write completions for a shell.
     Completions(CompletionsArgs),
     /// Write the man page.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands of `pomeloctl` and what `pomelopost` does, a file each.
 
 pub mod completions;
+pub mod experiment;
 pub mod job;
 pub mod load;
 pub mod man;
@@ -29,6 +30,7 @@
         Command::Demo => replay::demo().await,
         Command::Replay(args) => replay::run(&args).await,
         Command::Soak(args) => replay::soak(&args).await,
+        Command::Experiment(args) => experiment::run(&args).await,
         Command::Job(command) => job::run(&Fleet::find(&ctl.fleet).await?, command).await,
         Command::Status(args) => status::run(&Fleet::find(&ctl.fleet).await?, &args).await,
         Command::Timeline(args) => timeline::run(&Fleet::find(&ctl.fleet).await?, args).await,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod cmd;
 pub mod error;
+pub mod experiment;
 pub mod fleet;
 pub mod load;
 pub mod logs;
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -10,4 +10,4 @@
 pub use mix::{Mix, MixError, Part};
 pub use plan::{Arrivals, Plan, Planned};
 pub use report::{Percentiles, Report, Tally};
-pub use run::{Keys, fetch, run, submit};
+pub use run::{Keys, all_keys, fetch, run, submit};
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -52,6 +52,8 @@
     pub tasks: u64,
     /// Jobs answered completely.
     pub complete: u64,
+    /// Tasks of the jobs answered completely.
+    pub good_tasks: u64,
     /// Jobs told "not run".
     pub not_run: u64,
     /// Jobs failed of which something may have run.
@@ -127,7 +129,10 @@
     pub fn answer(&mut self, answer: &Answer, tasks: usize) {
         let report = &mut self.report;
         match (answer.outcome, answer.ran) {
-            (Ended::Complete, _) => report.complete += 1,
+            (Ended::Complete, _) => {
+                report.complete += 1;
+                report.good_tasks += tasks as u64;
+            }
             (Ended::Unknown | Ended::Running, _) => report.unknown += 1,
             (_, Some(RanWord::No)) => report.not_run += 1,
             (_, _) => report.may_have_run += 1,
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -183,7 +183,13 @@
 
 /// Makes up or fetches a key for every job before the load starts, since
 /// fetching is not what is measured.
-async fn all_keys(
+/// Makes up or fetches the keys of so many jobs, in the order in which the VMs
+/// get them.
+///
+/// # Errors
+///
+/// Fails when tickets can't be fetched.
+pub async fn all_keys(
     fleet: &Fleet,
     keys: Keys,
     count: usize,
