--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -30,7 +30,7 @@
     policies: Vec<PolicyKind>,
     /// The entry VMs of each of the three failure domains.
     #[arg(long, default_value_t = 3)]
-    vms: u32,
+    home_vms: u32,
     /// The minions of each failure domain.
     #[arg(long, default_value_t = 16)]
     minions: u32,
@@ -55,7 +55,7 @@
 /// Fails when a fleet can't start or can't be asked.
 pub async fn run(args: &ExperimentArgs) -> Result<(), CommandError> {
     let scale = Scale {
-        vms: args.vms,
+        vms: args.home_vms,
         minions: args.minions,
         span: args.span,
         warm: args.warm,
