--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -15,6 +15,7 @@
 
 use crate::claimer::Claimer;
 use crate::config::Config;
+use crate::digests::Digests;
 use crate::dispatch::Dispatch;
 use crate::notes::Notes;
 use crate::passing::Passing;
@@ -56,6 +57,8 @@
     pub claimer: Claimer,
     /// Queues and slots.
     pub dispatch: Arc<Dispatch<P>>,
+    /// What was last told of slots and quotas.
+    pub digests: Digests,
     /// Decides whom to believe in; never locked on the request path.
     pub members: Mutex<Membership<Xoshiro256PlusPlus>>,
     /// The platform's list of machines, as last read.
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -22,11 +22,12 @@
 use crate::claimed::Known;
 use crate::confirm::claimed_here;
 use crate::core::{Core, Stage};
+use crate::digests::{Round, take_round};
 use crate::lookup::{Found, cancel_here, find_here};
 use crate::message::{
     AWAIT_PATH, Ask, BEAT_PATH, CANCEL_PATH, CLAIMED_PATH, CLAIMS_PATH, ClaimedAsk, ClaimsReply,
-    FIND_PATH, HANDOVER_PATH, HandOver, HandOverReply, PASS_PATH, POLL_WAIT, Pass, PassReply,
-    PeerState, STATE_PATH,
+    DIGEST_PATH, FIND_PATH, HANDOVER_PATH, HandOver, HandOverReply, PASS_PATH, POLL_WAIT, Pass,
+    PassReply, PeerState, STATE_PATH,
 };
 use crate::run::Run;
 use crate::submit::{Bar, enter};
@@ -67,6 +68,7 @@
             FIND_PATH => self.find(&body),
             CANCEL_PATH => self.cancel(&body).await,
             BEAT_PATH => self.beat(&body),
+            DIGEST_PATH => self.digest(&body),
             STATE_PATH => write(&PeerState {
                 sheet: self.core.sheets.snapshot(),
                 listing: self.core.listing.load_full(),
@@ -155,6 +157,16 @@
         }
     }
 
+    fn digest(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        match self.read::<Round>(body) {
+            Ok(round) => {
+                take_round(&self.core, &round);
+                write(&())
+            }
+            Err(res) => *res,
+        }
+    }
+
     fn take_over(&self, body: &[u8]) -> Response<Full<Bytes>> {
         let left: HandOver = match self.read(body) {
             Ok(left) => left,
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -24,6 +24,7 @@
 use crate::config::Config;
 use crate::control;
 use crate::core::Core;
+use crate::digests::Digests;
 use crate::dispatch::Dispatch;
 use crate::notes::Notes;
 use crate::passing::Passing;
@@ -253,6 +254,7 @@
         dispatch: Arc::new(dispatch),
         listing: ArcSwapOption::empty(),
         sheets: Sheets::new(cfg.log.retention, notes.clone()),
+        digests: Digests::default(),
         passing: Passing::default(),
         notes,
         stage: AtomicU8::new(0),
--- a/components/routing/src/digest.rs
+++ b/components/routing/src/digest.rs
@@ -40,8 +40,8 @@
 }
 
 impl Digest {
-    /// Returns what a VM of another domain reads of this: whether there is
-    /// room. The rest speaks of minions of the sender's domain.
+    /// Returns what other domains and heartbeats need to know: whether there is
+    /// room. Leases and loads are left out, as a grant may count only once.
     pub fn abroad(&self) -> Digest {
         Digest {
             domain: self.domain.clone(),
--- a/components/slopes/src/control.rs
+++ b/components/slopes/src/control.rs
@@ -1,9 +1,10 @@
 //! Heartbeats under load: the memberships, digests and quotas of up to 40 VMs
 //! in memory, without network. The first VM's own share is measured.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use entry::{Beat, Load};
+use entry::{Beat, Load, Told};
 use kernel::{Cores, Domain, Millis, Slots, Team, Timestamp};
 use limits::{QuotaGuard, Quotas, Share};
 use membership::{Config, Listing, Membership, Target, Vm};
@@ -222,18 +223,21 @@
 
     fn load(&self, now: Timestamp) -> Load {
         let [teams, home_teams, services] = &self.quotas;
-        Load {
-            fleet: self.fleet.digest(now),
+        let told = Told {
+            fleet: self.fleet.digest(now).abroad(),
             teams: teams.digest(now),
             home_teams: home_teams.digest(now),
             services: services.digest(now),
+        };
+        Load {
+            told: Arc::new(told),
             stamp: self.hlc.stamp(now.since(Timestamp(0))),
         }
     }
 
     fn learn(&self, beat: &Beat, now: Timestamp) {
         let from = &beat.from.id;
-        let load = &beat.note;
+        let load = &beat.note.told;
         let [teams, home_teams, services] = &self.quotas;
         teams.absorb(from, &load.teams, now);
         self.fleet.absorb(from, &load.fleet, now);
