--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -17,6 +17,7 @@
 use crate::config::Config;
 use crate::count;
 use crate::dispatch::Dispatch;
+use crate::faults::Faults;
 use crate::passing::Passing;
 use crate::run::Run;
 use crate::sheets::Sheets;
@@ -71,6 +72,8 @@
     pub recorder: Recorder,
     /// What is counted.
     pub metrics: Metrics,
+    /// Counts of what must never happen.
+    pub faults: Faults,
     /// How far the VM is, as [`Stage`].
     pub stage: AtomicU8,
 }
--- a/components/entry/src/drive.rs
+++ b/components/entry/src/drive.rs
@@ -108,6 +108,7 @@
 /// refused before anything was sent.
 fn settle<C: Connect, P: Policy>(core: &Core<C, P>, run: &Run, outcome: Outcome) {
     let key = &run.spec.key;
+    let outcome = checked(core, run, outcome);
     core.metrics.add(count::of_outcome(&outcome), 1);
     core.metrics.time(Timing::Response, run.age());
     note_outcome(core, key, &outcome);
@@ -123,7 +124,24 @@
         _ if !run.owned() => core.table.withdraw(key, || {}),
         _ => core.table.finish(key, outcome.clone(), core.now()),
     }
-    run.end(outcome);
+    if run.end(outcome) {
+        core.faults.changed_outcome();
+    }
+}
+
+/// Corrects a "not run" of a job of which a task may have started. None should
+/// ever come here, so it is counted.
+fn checked<C: Connect, P: Policy>(core: &Core<C, P>, run: &Run, outcome: Outcome) -> Outcome {
+    match outcome {
+        Outcome::Failed {
+            ran: Ran::No,
+            reason,
+        } if run.owned() && run.ran() == Ran::Maybe => {
+            core.faults.untrue_refusal();
+            Outcome::may_have_run(reason)
+        }
+        other => other,
+    }
 }
 
 fn give_back<C: Connect, P: Policy>(core: &Core<C, P>, run: &Run) {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod count;
 mod dispatch;
 mod drive;
+mod faults;
 mod levels;
 mod lookup;
 mod message;
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -24,6 +24,8 @@
     cut: watch::Sender<Option<Reason>>,
     /// The tasks that may have started.
     exposed: AtomicUsize,
+    /// Which tasks may have started.
+    sent: Box<[AtomicBool]>,
     /// True once this VM alone may start the job.
     owned: AtomicBool,
     /// True once it is certain that this VM will not start the job.
@@ -36,6 +38,7 @@
         Run {
             arrival,
             until: Instant::now() + spec.deadline.duration(),
+            sent: spec.tasks.iter().map(|_| AtomicBool::new(false)).collect(),
             spec,
             ended: watch::Sender::new(None),
             cut: watch::Sender::new(None),
@@ -51,15 +54,19 @@
         self.spec.deadline.duration().saturating_sub(left)
     }
 
-    /// Ends the job. Only the first outcome counts.
-    pub fn end(&self, outcome: Arc<Outcome>) {
+    /// Ends the job. Only the first outcome counts; it answers whether a later
+    /// one differs from it.
+    pub fn end(&self, outcome: Arc<Outcome>) -> bool {
+        let mut changed = false;
         self.ended.send_if_modified(|ended| {
+            changed = ended.as_ref().is_some_and(|first| *first != outcome);
             let first = ended.is_none();
             if first {
                 *ended = Some(outcome);
             }
             first
         });
+        changed
     }
 
     /// Waits for the outcome.
@@ -94,13 +101,21 @@
             .unwrap_or(Reason::Cancelled)
     }
 
-    /// Notes that a task is about to be handed to a transport.
+    /// Notes that the job is about to be passed to its owner, who may run it.
     pub fn expose(&self) {
         self.exposed.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Notes that the task at a position is about to be handed to a transport.
+    /// It answers whether that task may have started before.
+    pub fn expose_task(&self, at: usize) -> bool {
+        self.expose();
+        self.sent[at].swap(true, Ordering::SeqCst)
+    }
+
     /// Notes that an exposed task provably did not start.
-    pub fn clear(&self) {
+    pub fn clear_task(&self, at: usize) {
+        self.sent[at].store(false, Ordering::SeqCst);
         self.exposed.fetch_sub(1, Ordering::SeqCst);
     }
 
--- a/components/entry/src/sheets.rs
+++ b/components/entry/src/sheets.rs
@@ -1,6 +1,7 @@
 //! The sheet in force: read from the log, given to and taken from peers, and
 //! written again before it expires.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
@@ -29,6 +30,8 @@
     held: ArcSwapOption<Held>,
     /// Told when another sheet came into force.
     changed: Notify,
+    /// Times that an older sheet was about to replace a newer one.
+    went_back: AtomicU64,
     /// Gets events.
     recorder: Recorder,
 }
@@ -45,6 +48,7 @@
             }),
             held: ArcSwapOption::empty(),
             changed: Notify::new(),
+            went_back: AtomicU64::new(0),
             recorder,
         }
     }
@@ -91,6 +95,12 @@
         self.lock().log.counters()
     }
 
+    /// Counts the times that an older sheet was about to replace a newer one,
+    /// which the reader of the log rules out.
+    pub fn went_back(&self) -> u64 {
+        self.went_back.load(Ordering::Relaxed)
+    }
+
     /// Returns what a peer that lags needs.
     pub fn snapshot(&self) -> Option<Snapshot> {
         self.lock().log.snapshot()
@@ -161,7 +171,10 @@
     /// newer one, as the state is locked meanwhile.
     fn publish(&self, state: MutexGuard<'_, State>) {
         let version = state.log.version();
-        if version != self.version() {
+        if version < self.version() {
+            self.went_back.fetch_add(1, Ordering::Relaxed);
+        }
+        if version > self.version() {
             self.held.store(state.log.held().cloned().map(Arc::new));
             drop(state);
             self.changed.notify_one();
--- a/components/entry/src/status.rs
+++ b/components/entry/src/status.rs
@@ -10,6 +10,7 @@
 use wire::Connect;
 
 use crate::core::{Core, Stage};
+use crate::faults;
 
 /// One VM's view of the fleet.
 #[derive(Debug, Clone, Serialize)]
@@ -55,6 +56,8 @@
     pub counts: BTreeMap<&'static str, u64>,
     /// Slots given back that nobody held; any but zero is a fault.
     pub broken_slots: u64,
+    /// Counts of what must never happen; any but zero is a fault.
+    pub faults: BTreeMap<&'static str, u64>,
 }
 
 /// What became of a change of the sheet.
@@ -125,6 +128,7 @@
         kept_bytes,
         counts: counts(core),
         broken_slots: core.dispatch.fleet.broken(),
+        faults: faults::read(core),
     }
 }
 
--- a/components/entry/src/task.rs
+++ b/components/entry/src/task.rs
@@ -57,7 +57,7 @@
     at: usize,
 ) -> (usize, Result<TaskAnswer, Reason>) {
     let task = &run.spec.tasks[at];
-    let result = answer_of(core, run, task).await;
+    let result = answer_of(core, run, at).await;
     let answer = result.map(|body| TaskAnswer {
         id: task.id.clone(),
         body,
@@ -68,8 +68,9 @@
 async fn answer_of<C: Connect, P: Policy>(
     core: &Arc<Core<C, P>>,
     run: &Arc<Run>,
-    task: &TaskSpec,
+    at: usize,
 ) -> Result<Bytes, Reason> {
+    let task = &run.spec.tasks[at];
     let mut avoid: Vec<MinionId> = Vec::new();
     let mut pause = PAUSE;
     core.dispatch.retries.tried();
@@ -79,7 +80,10 @@
             return Err(Reason::NoMinion);
         };
         let started = core.now();
-        run.expose();
+        if run.expose_task(at) {
+            core.faults.double_start();
+            return Err(lost(run, task));
+        }
         note(core, run, task, &minion, EventKind::TaskSent);
         match send(core, run, task, &minion).await {
             Sent::Answered(body) => {
@@ -105,7 +109,7 @@
                 return Err(lost(run, task));
             }
             Sent::NotStarted => {
-                run.clear();
+                run.clear_task(at);
                 held.finish(Finish::NotStarted, core.now());
                 note(core, run, task, &minion, EventKind::TaskNotStarted);
             }
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -25,6 +25,7 @@
 use crate::control;
 use crate::core::Core;
 use crate::dispatch::Dispatch;
+use crate::faults::Faults;
 use crate::passing::Passing;
 use crate::peers::Peers;
 use crate::sheets::Sheets;
@@ -252,6 +253,7 @@
         passing: Passing::default(),
         recorder,
         metrics: Metrics::new(),
+        faults: Faults::default(),
         stage: AtomicU8::new(0),
         me,
         clock,
--- a/components/jobs/src/table.rs
+++ b/components/jobs/src/table.rs
@@ -3,6 +3,7 @@
 
 use std::collections::VecDeque;
 use std::hash::{BuildHasher, RandomState};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use kernel::{HashMap, JobKey, Timestamp};
@@ -81,6 +82,8 @@
     hasher: RandomState,
     /// Bounds.
     limits: TableLimits,
+    /// Answers that differ from the one kept under their key.
+    changed: AtomicU64,
 }
 
 impl<T> JobTable<T> {
@@ -90,6 +93,7 @@
             shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
             hasher: RandomState::new(),
             limits,
+            changed: AtomicU64::new(0),
         }
     }
 
@@ -124,6 +128,9 @@
     /// Ends a running job and keeps its answer.
     pub fn finish(&self, key: &JobKey, outcome: Arc<Outcome>, now: Timestamp) {
         let mut shard = self.shard(key);
+        if shard.contradicts(key, &outcome) {
+            self.changed.fetch_add(1, Ordering::Relaxed);
+        }
         shard.keep(key.clone(), outcome, now);
         shard.shrink(self.limits.kept_bytes / SHARDS);
     }
@@ -172,6 +179,9 @@
     pub fn adopt(&self, kept: Vec<Kept>, now: Timestamp) {
         for Kept { key, outcome } in kept {
             let mut shard = self.shard(&key);
+            if shard.contradicts(&key, &outcome) {
+                self.changed.fetch_add(1, Ordering::Relaxed);
+            }
             if !shard.map.contains_key(&key) {
                 shard.keep(key, outcome, now);
                 shard.shrink(self.limits.kept_bytes / SHARDS);
@@ -192,6 +202,12 @@
         sizes
     }
 
+    /// Counts the answers that differed from the one kept under their key; any
+    /// but zero is a fault.
+    pub fn changed(&self) -> u64 {
+        self.changed.load(Ordering::Relaxed)
+    }
+
     fn shard(&self, key: &JobKey) -> MutexGuard<'_, Shard<T>> {
         let i = self.hasher.hash_one(key) as usize % SHARDS;
         lock(&self.shards[i])
@@ -203,6 +219,14 @@
 }
 
 impl<T> Shard<T> {
+    /// Tells whether another answer is kept under a key.
+    fn contradicts(&self, key: &JobKey, outcome: &Outcome) -> bool {
+        match self.map.get(key) {
+            Some(Entry::Done(kept)) => **kept != *outcome,
+            _ => false,
+        }
+    }
+
     fn keep(&mut self, key: JobKey, outcome: Arc<Outcome>, now: Timestamp) {
         let weight = ENTRY_BYTES + outcome.weight();
         if let Some(Entry::Done(_)) = self.map.get(&key) {
--- a/components/jobs/tests/table.rs
+++ b/components/jobs/tests/table.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use jobs::{Entered, JobTable, Outcome, TableLimits, TaskAnswer};
+use jobs::{Entered, JobTable, Outcome, Reason, TableLimits, TaskAnswer};
 use kernel::{JobKey, Timestamp};
 
 fn table(kept_bytes: usize) -> JobTable<u32> {
@@ -63,3 +63,16 @@
     assert!(kept > 100, "{kept}");
     assert!(table.find(&key(0)).is_none());
 }
+
+#[test]
+fn changed_answer() {
+    let (table, key) = (table(1 << 20), key(1));
+    let now = Timestamp(0);
+    let failed = Arc::new(Outcome::may_have_run(Reason::Deadline));
+    table.finish(&key, failed.clone(), now);
+    table.finish(&key, failed.clone(), now);
+    assert_eq!(table.changed(), 0);
+    table.finish(&key, Arc::new(Outcome::Complete(Vec::new())), now);
+    assert_eq!(table.changed(), 1);
+    assert_eq!(table.find(&key), Some(Err(failed)));
+}
--- a/components/limits/src/quota.rs
+++ b/components/limits/src/quota.rs
@@ -99,6 +99,8 @@
     ledger: Mutex<Ledger>,
     /// Slots refused.
     refused: AtomicU64,
+    /// Slots given back that nobody held, of teams that have no quota now.
+    past_broken: AtomicU64,
 }
 
 impl Quotas {
@@ -109,6 +111,7 @@
             cells: ArcSwap::default(),
             ledger: Mutex::new(Ledger::new(ttl)),
             refused: AtomicU64::new(0),
+            past_broken: AtomicU64::new(0),
         }
     }
 
@@ -123,6 +126,9 @@
         for (team, cell) in old.iter().filter(|(_, c)| c.read().1 > 0) {
             cells.entry(team.clone()).or_insert_with(|| cell.clone());
         }
+        let gone = old.iter().filter(|(team, _)| !cells.contains_key(*team));
+        let broken = gone.map(|(_, c)| u64::from(c.broken())).sum();
+        self.past_broken.fetch_add(broken, Ordering::Relaxed);
         ledger.set(quotas, &cells, share);
         self.cells.store(Arc::new(cells));
     }
@@ -180,7 +186,8 @@
     /// in this crate.
     pub fn broken(&self) -> u64 {
         let cells = self.cells.load();
-        cells.values().map(|c| u64::from(c.broken())).sum()
+        let now: u64 = cells.values().map(|c| u64::from(c.broken())).sum();
+        now + self.past_broken.load(Ordering::Relaxed)
     }
 
     /// Locks the ledger; its holder never waits for anything.
--- a/components/replay/src/lib.rs
+++ b/components/replay/src/lib.rs
@@ -30,3 +30,4 @@
     LogFault, MinionFault, Needs, Publish, Step, Submit, Task, Trace, Verdict, Via, VmFault,
 };
 pub use vm::{EmbeddedVm, LaunchError};
+pub use watch::{BrokenVm, Observed, Seen as SeenVm};
--- a/components/replay/src/play.rs
+++ b/components/replay/src/play.rs
@@ -17,7 +17,7 @@
 use crate::tally::tally;
 use crate::trace::{Action, Answer, Cancel, Expectation, Fault, Keys, Submit, Trace, Verdict};
 use crate::vm::LaunchError;
-use crate::watch::{Publisher, Watch};
+use crate::watch::{BrokenVm, Observed, Publisher, Watch};
 
 /// How long before its submission a ticket is fetched.
 const TICKET_LEAD: Millis = Millis(100);
@@ -38,6 +38,8 @@
     pub summary: Summary,
     /// The expectations that were missed.
     pub misses: Vec<Miss>,
+    /// What VMs have counted that must never happen, a miss each.
+    pub faults: Vec<BrokenVm>,
     /// What callers sent and were told.
     pub submissions: Vec<Submission>,
     /// The tasks that minions started.
@@ -85,8 +87,8 @@
     publications: JoinSet<(usize, Verdict)>,
     /// Told once nothing but publications is under way.
     closing: watch::Sender<bool>,
-    /// Counts sheets that went back.
-    reverts: watch::Sender<u64>,
+    /// What is seen of the VMs.
+    observed: watch::Sender<Observed>,
 }
 
 impl Player {
@@ -112,14 +114,14 @@
             tasks: JoinSet::new(),
             publications: JoinSet::new(),
             closing: watch::Sender::new(false),
-            reverts: watch::Sender::new(0),
+            observed: watch::Sender::default(),
         }
     }
 
     async fn run(&mut self, trace: &Trace) -> Result<(), LaunchError> {
         let watch = Watch::new(self.fleet.net().clone(), self.fleet.doors().clone());
-        let reverts = self.reverts.clone();
-        let watching = tokio::spawn(async move { watch.count_reverts(&reverts).await });
+        let observed = self.observed.clone();
+        let watching = tokio::spawn(async move { watch.observe(&observed).await });
         let zero = Instant::now();
         for (at, event) in time_line(trace) {
             sleep_until(zero + at.duration()).await;
@@ -198,20 +200,31 @@
         }
         let subs = self.book.read();
         let mut summary = tally(&subs, self.fleet.ledger(), self.fleet.stops());
-        summary.sheet_reverts = *self.reverts.borrow();
+        self.look_last().await;
+        summary.sheet_reverts = self.observed.borrow().reverts;
+        let faults = self.observed.borrow().faults();
         let answers = self.answers(trace, &subs).await;
         let told = |job: &str| answers.get(job).cloned().unwrap_or_default();
         let misses = misses(&trace.expects, &summary, told, &verdicts);
         summary.expectations = trace.expects.len() as u64;
-        summary.missed = misses.len() as u64;
+        summary.missed = (misses.len() + faults.len()) as u64;
         Report {
             summary,
             misses,
+            faults,
             submissions: subs,
             starts: self.fleet.ledger().starts(),
         }
     }
 
+    /// Reads what the VMs that live say of themselves in the end.
+    async fn look_last(&self) {
+        let watch = Watch::new(self.fleet.net().clone(), self.fleet.doors().clone());
+        for seen in watch.look().await {
+            self.observed.send_modify(|o| o.note(&seen));
+        }
+    }
+
     /// Returns the answers to each job that is spoken of. One whose callers
     /// have all hung up is looked up.
     async fn answers(
--- a/components/replay/src/watch.rs
+++ b/components/replay/src/watch.rs
@@ -1,5 +1,7 @@
 //! What the VMs say of themselves, and the sheets that operators publish.
 
+use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -8,7 +10,7 @@
 use futures::future::join_all;
 use http_body_util::Full;
 use hyper::Request;
-use kernel::{HashMap, Millis, Offset};
+use kernel::{HashMap, Millis, Offset, VmId};
 use platform::{AppendError, HttpPlatform, Platform, Stream};
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -44,6 +46,10 @@
     pub log: CompactString,
     /// The offset of the change whose sheet is in force there.
     pub sheet: Option<Offset>,
+    /// The VM.
+    pub vm: VmId,
+    /// Its counts of what must never happen.
+    pub faults: BTreeMap<CompactString, u64>,
     /// The last changes that it has judged.
     pub changes: Vec<SeenChange>,
 }
@@ -59,6 +65,52 @@
     pub accepted: bool,
 }
 
+/// A count of what must never happen, above zero on some VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BrokenVm {
+    /// The VM.
+    pub vm: VmId,
+    /// The count's name.
+    pub name: CompactString,
+    /// The count.
+    pub count: u64,
+}
+
+impl fmt::Display for BrokenVm {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} counts {} {}", self.vm, self.count, self.name)
+    }
+}
+
+/// What was seen of the VMs during a replay.
+#[derive(Debug, Clone, Default)]
+pub struct Observed {
+    /// How often a VM's sheet went back.
+    pub reverts: u64,
+    /// The counts above zero, by the life of the VM's process and by name.
+    faults: BTreeMap<(CompactString, CompactString), BrokenVm>,
+}
+
+impl Observed {
+    /// Notes what a VM says of itself.
+    pub fn note(&mut self, seen: &Seen) {
+        for (name, &count) in seen.faults.iter().filter(|(_, n)| **n > 0) {
+            let fault = BrokenVm {
+                vm: seen.vm.clone(),
+                name: name.clone(),
+                count,
+            };
+            let place = (seen.incarnation.clone(), name.clone());
+            self.faults.insert(place, fault);
+        }
+    }
+
+    /// Returns the counts above zero.
+    pub fn faults(&self) -> Vec<BrokenVm> {
+        self.faults.values().cloned().collect()
+    }
+}
+
 /// Looks at the VMs.
 #[derive(Clone)]
 pub struct Watch {
@@ -89,14 +141,16 @@
         serde_json::from_slice(&reply.body).ok()
     }
 
-    /// Counts, until dropped, how often a VM's sheet went back.
-    pub async fn count_reverts(&self, reverts: &watch::Sender<u64>) {
+    /// Notes, until dropped, how often a VM's sheet went back, and what VMs say
+    /// of themselves that must never happen.
+    pub async fn observe(&self, observed: &watch::Sender<Observed>) {
         let mut last: HashMap<CompactString, Option<Offset>> = HashMap::default();
         loop {
             for seen in self.look().await {
+                observed.send_modify(|o| o.note(&seen));
                 let before = last.insert(seen.incarnation, seen.sheet);
                 if before.is_some_and(|b| seen.sheet < b) {
-                    reverts.send_modify(|n| *n += 1);
+                    observed.send_modify(|o| o.reverts += 1);
                 }
             }
             tokio::time::sleep(LOOK_PAUSE).await;
--- a/components/replay/tests/soak.rs
+++ b/components/replay/tests/soak.rs
@@ -11,6 +11,7 @@
     let report = play(&trace).await.unwrap();
     let broken = report.summary.broken();
     assert!(broken.is_empty(), "seed {seed}: {broken:?}");
+    assert!(report.faults.is_empty(), "seed {seed}: {:?}", report.faults);
     assert!(report.summary.complete > 0, "seed {seed}");
 }
 
--- a/components/replay/tests/traces.rs
+++ b/components/replay/tests/traces.rs
@@ -18,6 +18,9 @@
     for miss in &report.misses {
         println!("{name}: {miss}");
     }
+    for fault in &report.faults {
+        println!("{name}: {fault}");
+    }
     (!report.summary.good()).then_some(name)
 }
 
--- a/src/cmd/replay.rs
+++ b/src/cmd/replay.rs
@@ -78,6 +78,9 @@
     for miss in &report.misses {
         print(&format!("missed: {miss}\n"))?;
     }
+    for fault in &report.faults {
+        print(&format!("missed: {fault}\n"))?;
+    }
     print(&format!("{}\n", report.summary))?;
     match report.summary.good() {
         true => Ok(()),
--- a/src/cmd/soak.rs
+++ b/src/cmd/soak.rs
@@ -114,6 +114,9 @@
 }
 
 fn write_failed(path: &Path, text: &str, report: &Report) -> Result<(), CommandError> {
+    for fault in &report.faults {
+        print(&format!("missed: {fault}\n"))?;
+    }
     let broken = report.summary.broken().join(", ");
     print(&format!("broken: {broken}\ntrace: {}\n", path.display()))?;
     fs::write(path, text).map_err(|e| CommandError::File(path.to_path_buf(), e))
