--- a/components/entry/tests/outcomes.rs
+++ b/components/entry/tests/outcomes.rs
@@ -120,7 +120,7 @@
     let keys: Vec<String> = (0..20).map(|n| format!("job-{n}")).collect();
     let jobs = keys.iter().map(|k| fleet.submit(0, k, &[400; 4]));
     let cancels = async {
-        fleet.until(0, |s| s["counts"]["sent"] == 8).await;
+        fleet.until(0, |s| s["counts"]["tasks.sent"] == 8).await;
         let all = keys.iter().map(|k| fleet.on_job(0, Method::DELETE, k));
         futures::future::join_all(all).await
     };
