--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -17,6 +17,7 @@
 use crate::config::Config;
 use crate::digests::Digests;
 use crate::dispatch::Dispatch;
+use crate::faults::Faults;
 use crate::notes::Notes;
 use crate::passing::Passing;
 use crate::run::Run;
@@ -71,6 +72,8 @@
     pub passing: Passing,
     /// The time line and what is counted.
     pub notes: Notes,
+    /// Counts of what must never happen.
+    pub faults: Faults,
     /// How far the VM is, as [`Stage`].
     pub stage: AtomicU8,
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod digests;
 mod dispatch;
 mod drive;
+mod faults;
 mod levels;
 mod lookup;
 mod message;
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -26,6 +26,7 @@
 use crate::core::Core;
 use crate::digests::Digests;
 use crate::dispatch::Dispatch;
+use crate::faults::Faults;
 use crate::notes::Notes;
 use crate::passing::Passing;
 use crate::peers::Peers;
@@ -257,6 +258,7 @@
         digests: Digests::default(),
         passing: Passing::default(),
         notes,
+        faults: Faults::default(),
         stage: AtomicU8::new(0),
         me,
         clock,
--- a/components/replay/tests/traces.rs
+++ b/components/replay/tests/traces.rs
@@ -30,6 +30,9 @@
     for miss in &report.misses {
         println!("{name}: {miss}");
     }
+    for fault in &report.faults {
+        println!("{name}: {fault}");
+    }
     if !report.summary.good() {
         tell_unfinished(&name, &report);
     }
