Spill over only when waiting costs half a run, and into a third of free slots

Spilled tasks take slots that the other domain's VMs do not see. Change: a task goes elsewhere only when it would wait the trip and half a mean run, and one VM uses a quarter of what is free beyond a third of the slots between two reports.

--- a/components/routing/src/remote.rs
+++ b/components/routing/src/remote.rs
@@ -11,8 +11,13 @@
 /// How often a domain that reports nothing is tried.
 const BLIND: Millis = Millis(100);
 
-/// A domain with less than one in so many slots free takes no spill-over.
-const FREE_PART: u32 = 10;
+/// A domain with less than one in so many slots free takes no spill-over. Its
+/// own VMs don't see spilled tasks, and would meet them on full minions.
+const FREE_PART: u32 = 3;
+
+/// The part of the room beyond that which one VM uses between two reports, as
+/// a divisor, because VMs of several domains may see the same room.
+const ROOM_PART: u32 = 4;
 
 /// One other domain.
 #[derive(Debug, Default)]
@@ -21,10 +26,8 @@
     until: Timestamp,
     /// Refusals and losses since the last answer.
     fails: u32,
-    /// Free slots as last reported, less the tasks sent there since.
-    free: u32,
-    /// All slots as last reported.
-    slots: u32,
+    /// The tasks that may still be sent there before the next report.
+    room: u32,
     /// When it last reported.
     heard: Option<Timestamp>,
 }
@@ -40,8 +43,7 @@
     /// Notes a report of free slots.
     pub(crate) fn heard(&mut self, domain: &Domain, free: u32, slots: u32, now: Timestamp) {
         let remote = self.domains.entry(domain.clone()).or_default();
-        remote.free = free;
-        remote.slots = slots;
+        remote.room = free.saturating_sub(slots / FREE_PART) / ROOM_PART;
         remote.heard = Some(now);
     }
 
@@ -53,13 +55,13 @@
             return false;
         }
         let fresh = remote.heard.is_some_and(|at| now.since(at) < ttl);
-        !fresh || remote.free > remote.slots / FREE_PART
+        !fresh || remote.room > 0
     }
 
     /// Notes that a task goes to the domain.
     pub(crate) fn sent(&mut self, domain: &Domain, ttl: Millis, now: Timestamp) {
         let remote = self.domains.entry(domain.clone()).or_default();
-        remote.free = remote.free.saturating_sub(1);
+        remote.room = remote.room.saturating_sub(1);
         let fresh = remote.heard.is_some_and(|at| now.since(at) < ttl);
         if !fresh {
             remote.until = now.after(BLIND);
--- a/components/routing/src/shared.rs
+++ b/components/routing/src/shared.rs
@@ -20,6 +20,11 @@
 /// How often loads are summed up and minions reopened.
 const REFRESH: Millis = Millis(20);
 
+/// The part of a mean run time that waiting must cost, besides the trip, before
+/// a task goes to another domain, as a divisor. Spilled tasks take slots that
+/// the other domain's VMs count on, and turn their tasks away.
+const SPILL_PART: u64 = 2;
+
 /// What a peer VM said last.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -206,7 +211,8 @@
     pub(crate) fn may_spill(&self, offer: &Offer, domain: &Domain, now: Timestamp) -> bool {
         let wait = offer.demand.wait(self.busy.load(Ordering::Relaxed));
         let alone = offer.local.is_empty();
-        if !alone && wait <= self.trip(domain).micros() {
+        let worth = self.trip(domain).micros() + offer.demand.run() / SPILL_PART;
+        if !alone && wait <= worth {
             return false;
         }
         lock(&self.remotes).open(domain, self.cfg.peer_ttl, now)
