--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -5,23 +5,20 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, TryLockError};
 
 use arc_swap::ArcSwap;
-use jobs::{JobSpec, Reason, TaskSpec};
+use jobs::{Reason, TaskSpec};
 use kernel::{
-    Clock, Cores, Domain, HashMap, JobKey, Millis, MinionId, Service, Slots, SystemClock, Team,
-    Timestamp,
+    Clock, Cores, Domain, HashMap, JobKey, Millis, MinionId, Service, SystemClock, Team, Timestamp,
 };
 use limits::{
-    Admission, Demand, JobOrder, LimitsConfig, Queue, QuotaGuard, Quotas, RetryBudget, RunTimes,
-    Waiting,
+    Admission, JobOrder, LimitsConfig, Queue, QuotaGuard, Quotas, RetryBudget, RunTimes, Waiting,
 };
-use routing::{Finish, Fleet, MinionInfo, Policy, Slot, Unavailable};
+use routing::{Finish, Fleet, MinionInfo, Policy, Slot};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::run::Run;
 
-/// The quantile of run times that a job's last task is expected to take.
-const LONG: f64 = 0.95;
+mod admit;
 
 /// A task that waits for a slot.
 struct Waiter<P: Policy> {
@@ -142,60 +139,6 @@
         self.sharers.store(vms.max(1), Ordering::Relaxed);
     }
 
-    /// Decides whether a job may be taken on.
-    ///
-    /// # Errors
-    ///
-    /// Tells why not; nothing of the job has run.
-    pub fn admit(&self, spec: &JobSpec) -> Result<(), Reason> {
-        for task in &spec.tasks {
-            self.fleet
-                .fits(&spec.service, task.cores)
-                .map_err(|e| refusal(e, task))?;
-        }
-        let demand = self.demand(spec);
-        self.admission
-            .admit(&demand)
-            .map_err(|_| Reason::Overloaded)
-    }
-
-    /// Returns when a caller refused for lack of slots should come back.
-    pub fn retry_after(&self, spec: &JobSpec) -> Option<Millis> {
-        let refused = self.admission.admit(&self.demand(spec)).err()?;
-        Some(refused.retry_after)
-    }
-
-    /// Sums up what a job meets. What is not learned yet counts as nothing, so
-    /// that no job is refused on a guess.
-    fn demand(&self, spec: &JobSpec) -> Demand {
-        let line = self.line(&spec.service);
-        let queued = line.waiting.load(Ordering::Relaxed);
-        let (service, team) = (&spec.service, &spec.team);
-        Demand {
-            queued,
-            tasks: spec.tasks.len(),
-            slots: self.usable_slots(&line, queued),
-            mean: self.times.learned_mean(service).unwrap_or_default(),
-            long: self
-                .times
-                .learned_quantile(service, team, LONG)
-                .unwrap_or_default(),
-            left: spec.deadline,
-        }
-    }
-
-    /// Returns the slots that this VM can count on: all while nothing waits,
-    /// as VMs lend what they don't need; else its part, or what it holds.
-    fn usable_slots(&self, line: &Line<P>, queued: usize) -> Slots {
-        let all = self.fleet.capacity(&line.service);
-        if queued == 0 {
-            return all;
-        }
-        let part = all.0 as usize / self.sharers.load(Ordering::Relaxed);
-        let held = line.held.load(Ordering::Relaxed);
-        Slots(part.max(held) as u32)
-    }
-
     /// Waits for a slot for a task.
     ///
     /// # Errors
@@ -465,14 +408,6 @@
     }
 }
 
-fn refusal(why: Unavailable, task: &TaskSpec) -> Reason {
-    match why {
-        Unavailable::NoMinion => Reason::NoMinion,
-        Unavailable::TooLarge => Reason::TooLarge(task.id.clone()),
-        Unavailable::Full => Reason::Overloaded,
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/components/jobs/src/lib.rs
+++ b/components/jobs/src/lib.rs
@@ -5,13 +5,15 @@
 mod claim;
 mod job;
 mod outcome;
+mod record;
 mod table;
 mod window;
 
-pub use claim::{
-    ClaimError, ClaimRecord, Claims, Coverage, Decided, Enlisted, Held, KeyHash, Owner, Release,
-};
+pub use claim::Claims;
 pub use job::{JobError, JobSpec, MAX_TASKS, TaskSpec};
 pub use outcome::{Outcome, Ran, Reason, TaskAnswer};
+pub use record::{
+    ClaimError, ClaimRecord, Coverage, Decided, Enlisted, Held, KeyHash, Owner, Release,
+};
 pub use table::{Entered, JobTable, Kept, TableLimits};
 pub use window::{Judged, Window, WindowState, Windows};
