--- a/components/replay/src/tally.rs
+++ b/components/replay/src/tally.rs
@@ -74,6 +74,11 @@
 /// Counts the submissions told "not run" whose job had run by then, or ran
 /// later though nobody submitted it again.
 fn false_not_run(subs: &[Submission], starts: &[Start]) -> u64 {
+    untrue_refusals(subs, starts).len() as u64
+}
+
+/// Lists the submissions that [`Summary::false_not_run`] counts.
+pub fn untrue_refusals<'a>(subs: &'a [Submission], starts: &[Start]) -> Vec<&'a Submission> {
     let mut started: HashMap<&str, Vec<Instant>> = HashMap::default();
     for start in starts {
         started.entry(&start.job).or_default().push(start.at);
@@ -97,7 +102,7 @@
         let mut times = s.attempts.iter().filter_map(told);
         times.any(|at| untrue(&s.key, at))
     };
-    subs.iter().filter(lied).count() as u64
+    subs.iter().filter(lied).collect()
 }
 
 /// Tells whether a planned stop cut a submission off.
--- a/src/cmd/soak.rs
+++ b/src/cmd/soak.rs
@@ -8,7 +8,7 @@
 
 use clap::Args;
 use kernel::Millis;
-use replay::{Action, Report, Trace, play};
+use replay::{Action, Report, Submission, Trace, play};
 
 use crate::cmd::print;
 use crate::error::CommandError;
@@ -117,7 +117,35 @@
     for fault in &report.faults {
         print(&format!("missed: {fault}\n"))?;
     }
+    for sub in replay::untrue_refusals(&report.submissions, &report.starts) {
+        tell_refused(sub, report)?;
+    }
     let broken = report.summary.broken().join(", ");
     print(&format!("broken: {broken}\ntrace: {}\n", path.display()))?;
+    if let Some(folder) = path.parent() {
+        fs::create_dir_all(folder).map_err(|e| CommandError::File(folder.to_path_buf(), e))?;
+    }
     fs::write(path, text).map_err(|e| CommandError::File(path.to_path_buf(), e))
 }
+
+/// Prints what a caller was told and when its job's tasks started, in
+/// milliseconds from its submission.
+fn tell_refused(sub: &Submission, report: &Report) -> Result<(), CommandError> {
+    let since = |at: Instant| at.saturating_duration_since(sub.at).as_millis();
+    let same = |s: &&Submission| s.key == sub.key;
+    for other in report.submissions.iter().filter(same) {
+        for attempt in &other.attempts {
+            let ended = attempt.end.as_ref().map(|(at, end)| (since(*at), end));
+            let (vm, sent) = (&attempt.vm, since(attempt.sent));
+            print(&format!(
+                "{}: sent to {vm} at {sent} ms, {ended:?}\n",
+                sub.key
+            ))?;
+        }
+    }
+    for start in report.starts.iter().filter(|s| s.job == sub.key) {
+        let (minion, at) = (&start.minion, since(start.at));
+        print(&format!("{}: started on {minion} at {at} ms\n", sub.key))?;
+    }
+    Ok(())
+}
