Replay: an owner that is away is no cut-off before the stop's deadline

The printed attempts show j219, resubmitted through a VM in its stop, told owner_away as its owner had died; other VMs told the same before and after the stop. Change: cut_off counts that answer only once the stop's own deadline has passed, when a stop gives it; both sides are in the tally's test. Soak prints the attempts of jobs that were cut off.

--- a/components/replay/src/fleet.rs
+++ b/components/replay/src/fleet.rs
@@ -19,7 +19,7 @@
 const WORKER_CORES: Cores = Cores(30);
 
 /// How long a planned stop may take.
-const STOP_WAIT: Millis = Millis(15_000);
+pub(crate) const STOP_WAIT: Millis = Millis(15_000);
 
 /// The longest wait for all VMs to become ready.
 const READY_WAIT: Duration = Duration::from_secs(15);
--- a/components/replay/src/lib.rs
+++ b/components/replay/src/lib.rs
@@ -24,7 +24,7 @@
 pub use generate::generate;
 pub use play::{Report, play};
 pub use summary::{INVARIANTS, Miss, Ratio, Seen, Summary, misses};
-pub use tally::{tally, untrue_refusals};
+pub use tally::{cut_offs, tally, untrue_refusals};
 pub use trace::{
     Action, Answer, Base, Bounds, Cancel, Expect, Expectation, Fault, FleetPlan, HangUp, Keys,
     LogFault, MinionFault, Needs, Publish, Step, Submit, Task, Trace, Verdict, Via, VmFault,
--- a/components/replay/src/play.rs
+++ b/components/replay/src/play.rs
@@ -44,6 +44,8 @@
     pub submissions: Vec<Submission>,
     /// The tasks that minions started.
     pub starts: Vec<Start>,
+    /// When planned stops began.
+    pub stops: Vec<(VmId, std::time::Instant)>,
 }
 
 /// Something on the time line of a replay.
@@ -214,6 +216,7 @@
             faults,
             submissions: subs,
             starts: self.fleet.ledger().starts(),
+            stops: self.fleet.stops().to_vec(),
         }
     }
 
--- a/components/replay/src/tally.rs
+++ b/components/replay/src/tally.rs
@@ -7,6 +7,7 @@
 use standins::{Ledger, Start};
 
 use crate::book::{Attempt, End, Submission};
+use crate::fleet::STOP_WAIT;
 use crate::summary::{Ratio, Summary};
 use crate::trace::Answer;
 
@@ -41,7 +42,7 @@
         wrong_answers: count(&|s| s.wrong),
         false_not_run: false_not_run(subs, &starts),
         late_starts_on_leaving: ledger.late_starts(LEAVING_GRACE),
-        cut_off: count(&|s| cut_off(s, stops)),
+        cut_off: cut_offs(subs, stops).len() as u64,
         messages: ledger.messages(),
         response_ratio: response_ratio(subs),
         ..Summary::default()
@@ -105,11 +106,20 @@
     subs.iter().filter(lied).collect()
 }
 
+/// Lists the submissions that planned stops cut off.
+pub fn cut_offs<'a>(subs: &'a [Submission], stops: &[(VmId, Instant)]) -> Vec<&'a Submission> {
+    subs.iter().filter(|s| cut_off(s, stops)).collect()
+}
+
 /// Tells whether a planned stop cut a submission off.
 fn cut_off(sub: &Submission, stops: &[(VmId, Instant)]) -> bool {
     let cut = |a: &Attempt, stop: Instant| match &a.end {
         Some((at, _)) if *at < stop => false,
         None => true,
+        // Before the stop's deadline this says that another VM can't be reached.
+        Some((at, End::Unknown(reason))) if reason == "owner_away" => {
+            *at >= stop + STOP_WAIT.duration()
+        }
         Some((_, End::Lost | End::Unknown(_))) => true,
         Some((_, End::Told(Answer::Failed, reason))) => reason == "stopping",
         Some((_, End::Told(Answer::NotRun, reason))) => {
--- a/components/replay/tests/tally.rs
+++ b/components/replay/tests/tally.rs
@@ -121,6 +121,8 @@
         (Some((20, End::Lost)), 0),
         (Some((700, End::Lost)), 1),
         (Some((700, End::Unknown("owner_gone".into()))), 1),
+        (Some((700, End::Unknown("owner_away".into()))), 0),
+        (Some((15_600, End::Unknown("owner_away".into()))), 1),
         (Some((700, told(Answer::Failed, "stopping"))), 1),
         (Some((700, told(Answer::Failed, "task_failed"))), 0),
         (Some((700, told(Answer::NotRun, "stopping"))), 1),
--- a/src/cmd/soak.rs
+++ b/src/cmd/soak.rs
@@ -118,7 +118,10 @@
         print(&format!("missed: {fault}\n"))?;
     }
     for sub in replay::untrue_refusals(&report.submissions, &report.starts) {
-        tell_refused(sub, report)?;
+        tell_job(sub, report)?;
+    }
+    for sub in replay::cut_offs(&report.submissions, &report.stops) {
+        tell_job(sub, report)?;
     }
     let broken = report.summary.broken().join(", ");
     print(&format!("broken: {broken}\ntrace: {}\n", path.display()))?;
@@ -130,7 +133,7 @@
 
 /// Prints what a caller was told and when its job's tasks started, in
 /// milliseconds from its submission.
-fn tell_refused(sub: &Submission, report: &Report) -> Result<(), CommandError> {
+fn tell_job(sub: &Submission, report: &Report) -> Result<(), CommandError> {
     let since = |at: Instant| at.saturating_duration_since(sub.at).as_millis();
     let same = |s: &&Submission| s.key == sub.key;
     for other in report.submissions.iter().filter(same) {
