One rule for who takes new work; the list of machines is compared, not its address

Found by reading the change again. The filter for a peer that is live and not leaving stood four times and is PeerView::takes_work now. apply_beliefs kept the address of the list it had last applied; a dropped list's address may be given to the next, which would then be passed over. It holds the list itself. No test causes that reuse.

--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -230,8 +230,9 @@
 struct Beliefs {
     /// The sheet in force.
     sheet: Option<Offset>,
-    /// Which list of machines was last read.
-    listing: usize,
+    /// The list of machines as last read. It is held, as the address of one
+    /// that was dropped may be given to the next.
+    listing: Arc<Listing>,
     /// Minions that peers say are leaving.
     leaving: Arc<BTreeSet<MinionId>>,
     /// This VM's rank among all VMs, and their number.
@@ -261,7 +262,7 @@
     let view = core.view.load();
     Beliefs {
         sheet: core.sheets.version(),
-        listing: Arc::as_ptr(listing) as usize,
+        listing: listing.clone(),
         leaving: view.leaving.clone(),
         all: (view.rank, view.live.max(1)),
         home: home_rank(&view),
@@ -270,11 +271,8 @@
 
 /// Returns this VM's rank among the live VMs of its domain, and their number.
 fn home_rank(view: &View) -> (usize, usize) {
-    let live = |p: &&PeerView| {
-        let serving = p.presence == membership::Presence::Live;
-        p.domain == view.me.domain && serving && p.health == Health::Live
-    };
-    let peers: Vec<_> = view.peers.iter().filter(live).collect();
+    let near = |p: &&PeerView| p.domain == view.me.domain && p.takes_work();
+    let peers: Vec<_> = view.peers.iter().filter(near).collect();
     let ahead = peers.iter().filter(|p| p.id < view.me.id).count();
     (ahead, peers.len() + 1)
 }
--- a/components/entry/src/digests.rs
+++ b/components/entry/src/digests.rs
@@ -8,7 +8,7 @@
 use futures::future::join_all;
 use kernel::{Millis, Timestamp, VmId};
 use limits::QuotaDigest;
-use membership::{Health, PeerView, Presence};
+use membership::PeerView;
 use metrics::Count;
 use routing::{Digest, Policy};
 use serde::{Deserialize, Serialize};
@@ -150,9 +150,7 @@
 
 /// Lists the live VMs of this domain.
 fn near_peers<C: Connect, P: Policy>(core: &Core<C, P>) -> Vec<PeerView> {
-    let near = |p: &&PeerView| {
-        p.health == Health::Live && p.presence == Presence::Live && p.domain == core.cfg.domain
-    };
+    let near = |p: &&PeerView| p.domain == core.cfg.domain && p.takes_work();
     core.view
         .load()
         .peers
--- a/components/entry/src/stop.rs
+++ b/components/entry/src/stop.rs
@@ -8,7 +8,6 @@
 
 use jobs::Reason;
 use kernel::{Incarnation, Millis};
-use membership::{Health, PeerView, Presence};
 use routing::Policy;
 use timeline::{EventKind, Note};
 use tokio::time::{Instant, sleep};
@@ -93,8 +92,7 @@
 /// Returns the peers that could take over, those of this domain first.
 pub fn successors<C: Connect, P: Policy>(core: &Core<C, P>) -> Vec<(Incarnation, SocketAddr)> {
     let view = core.view.load();
-    let able = |p: &&PeerView| p.health == Health::Live && p.presence == Presence::Live;
-    let mut peers: Vec<_> = view.peers.iter().filter(able).collect();
+    let mut peers: Vec<_> = view.peers.iter().filter(|p| p.takes_work()).collect();
     peers.sort_by_key(|p| p.domain != core.cfg.domain);
     let named = peers.iter().filter_map(|p| Some((p.incarnation?, p.peers)));
     named.collect()
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -218,7 +218,7 @@
     pub fn view(&mut self, now: Timestamp) -> Arc<View> {
         self.publish_sets();
         let peers: Vec<PeerView> = self.peers.iter().map(|p| self.show(p, now)).collect();
-        let live = |p: &&PeerView| p.health == Health::Live && p.presence == Presence::Live;
+        let live = |p: &&PeerView| p.takes_work();
         let ahead = peers.iter().filter(live).filter(|p| p.id < self.me.id);
         let mine = usize::from(self.presence == Presence::Live);
         Arc::new(View {
--- a/components/membership/src/view.rs
+++ b/components/membership/src/view.rs
@@ -44,6 +44,13 @@
     pub claims: Option<Offset>,
 }
 
+impl PeerView {
+    /// Tells whether new work may go to the peer.
+    pub fn takes_work(&self) -> bool {
+        self.health == Health::Live && self.presence == Presence::Live
+    }
+}
+
 /// Where the owner of tickets is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Located {
