--- a/benches/path.rs
+++ b/benches/path.rs
@@ -17,7 +17,7 @@
 use hyper::Request;
 use kernel::{Cores, Domain, Millis, Service, Slots};
 use limits::LimitsConfig;
-use platform::{HttpPlatform, Platform, Presence, Stream, VmRow};
+use logstore::{HttpPlatform, Platform, Presence, Stream, VmRow};
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use routing::RoutingConfig;
--- /dev/null
+++ b/components/engine/src/drive.rs
@@ -0,0 +1,192 @@
+//! Carries out what a scheduler decides, and drives the minions of a shard.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::{HashSet, MinionId};
+use ownership::shard_of;
+use schedule::{Action, Fence, JobId, Outcome, StartOrder, StartReply, StopOrder};
+
+use crate::control::{HoldReply, Minions, StopReply};
+use crate::core::{Core, lock};
+use crate::owned::{Ending, Owned, State};
+
+/// The pause after an unanswered hold; doubled up to the next one.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+
+/// The longest pause between holds to a minion that doesn't answer.
+const RETRY_MOST: Duration = Duration::from_millis(640);
+
+/// How often in a row a minion is taken again at once after it refused our
+/// token; more often means that another VM takes it too.
+const FENCE_TRIES: u32 = 12;
+
+/// The pause before a minion is taken again that another VM has taken from us,
+/// in which beats tell which of the two owns the shard.
+const FENCED_PAUSE: Duration = Duration::from_millis(300);
+
+/// Carries out what a shard's scheduler has decided.
+pub(crate) fn perform<M: Minions>(core: &Arc<Core<M>>, owned: &Arc<Owned>) {
+    let mut told = Vec::new();
+    let actions = {
+        let mut state = owned.lock();
+        let actions = state.scheduler.take_actions();
+        for action in &actions {
+            if let Action::Settle(id, outcome) = action {
+                settle(&mut state, id, *outcome, core, &mut told);
+            }
+        }
+        actions
+    };
+    for (tell, ending) in told {
+        // It fails if the waiter is gone; the job is over all the same.
+        let _ = tell.send(ending);
+    }
+    for action in actions {
+        match action {
+            Action::Start(order) => {
+                tokio::spawn(start(core.clone(), owned.clone(), order));
+            }
+            Action::Stop(order) => {
+                tokio::spawn(stop(core.clone(), owned.clone(), order));
+            }
+            Action::Settle(id, outcome) => {
+                log::info!(job:% = id, shard:% = owned.shard, outcome:? = outcome; "job ended");
+            }
+            Action::Ejected(id, span) => {
+                log::warn!(minion:% = id, span_ms = span.0; "minion fails or lags, left out");
+            }
+        }
+    }
+}
+
+type Told = Vec<(tokio::sync::oneshot::Sender<Ending>, Ending)>;
+
+fn settle<M>(state: &mut State, id: &JobId, outcome: Outcome, core: &Core<M>, told: &mut Told) {
+    let Some(waiter) = state.waiters.remove(id) else {
+        return;
+    };
+    match waiter.tell {
+        Some(tell) => told.push((tell, Ending::Ended(outcome))),
+        None => {
+            state.kept.insert(id.clone(), (outcome, core.now()));
+        }
+    }
+}
+
+async fn start<M: Minions>(core: Arc<Core<M>>, owned: Arc<Owned>, order: StartOrder) {
+    let reply = core.minions.start(&order).await;
+    if !matches!(reply, StartReply::Accepted(_)) {
+        log::warn!(task:% = order.task, run = order.run.0, minion:% = order.minion, reply:? = reply;
+            "start not taken");
+    }
+    if reply == StartReply::Fenced {
+        fenced(&core, &owned, &order.minion, order.fence, 0);
+    }
+    {
+        let mut state = owned.lock();
+        let now = core.now();
+        let scheduler = &mut state.scheduler;
+        scheduler.started(&order.minion, &order.task, order.run, reply, now);
+    }
+    perform(&core, &owned);
+}
+
+async fn stop<M: Minions>(core: Arc<Core<M>>, owned: Arc<Owned>, order: StopOrder) {
+    match core.minions.stop(&order).await {
+        StopReply::Taken(clock) => {
+            let mut state = owned.lock();
+            let scheduler = &mut state.scheduler;
+            scheduler.stopped(&order.minion, &order.task, order.run, clock);
+        }
+        StopReply::Fenced => fenced(&core, &owned, &order.minion, order.fence, 0),
+        StopReply::NoAnswer => {
+            log::debug!(task:% = order.task, minion:% = order.minion; "stop not answered");
+        }
+    }
+}
+
+/// Takes note that a minion refused our token, and draws a higher one.
+fn fenced<M>(core: &Core<M>, owned: &Owned, id: &MinionId, refused: Fence, tries: u32) {
+    let next = lock(&core.tokens).above(refused, tries);
+    owned.lock().scheduler.fenced(id, refused, next);
+}
+
+/// Brings the shard's minions in line with the register, and starts to drive
+/// the new ones.
+pub(crate) fn sync_register<M: Minions>(core: &Arc<Core<M>>, owned: &Arc<Owned>) {
+    let register = core.register.load_full();
+    let Some(register) = register else {
+        return;
+    };
+    let shards = core.cfg.shards;
+    let ours = register
+        .iter()
+        .filter(|m| m.domain == owned.shard.domain)
+        .filter(|m| shard_of(&m.domain, &m.id, shards) == owned.shard);
+    let mut fresh = Vec::new();
+    {
+        let mut state = owned.lock();
+        if !state.live {
+            return;
+        }
+        let mut listed: HashSet<MinionId> = HashSet::default();
+        for info in ours {
+            listed.insert(info.id.clone());
+            let fence = lock(&core.tokens).mint();
+            state.scheduler.register(info.clone(), fence);
+        }
+        for id in state.scheduler.minion_ids() {
+            if !listed.contains(&id) {
+                state.scheduler.withdraw(&id);
+            } else if state.driven.insert(id.clone()) {
+                fresh.push(id);
+            }
+        }
+    }
+    for id in fresh {
+        tokio::spawn(drive(core.clone(), owned.clone(), id));
+    }
+}
+
+/// Holds a minion for as long as it is in the shard.
+async fn drive<M: Minions>(core: Arc<Core<M>>, owned: Arc<Owned>, id: MinionId) {
+    let mut pause = RETRY_PAUSE;
+    let mut tries = 0;
+    loop {
+        let order = owned.lock().scheduler.hold(&id, core.now());
+        let Some(order) = order else {
+            owned.lock().driven.remove(&id);
+            return;
+        };
+        match core.minions.hold(&id, &order).await {
+            HoldReply::Listed(list) => {
+                let taken = owned.lock().scheduler.listed(&id, list, core.now());
+                if taken {
+                    log::info!(minion:% = id, fence = order.fence.0, tries = tries; "minion held");
+                }
+                pause = RETRY_PAUSE;
+                tries = 0;
+                perform(&core, &owned);
+            }
+            HoldReply::Fenced => {
+                tries += 1;
+                fenced(&core, &owned, &id, order.fence, tries);
+                if order.lease.is_some() || tries > FENCE_TRIES {
+                    log::warn!(minion:% = id, fence = order.fence.0; "minion taken by another VM");
+                    tokio::time::sleep(FENCED_PAUSE).await;
+                }
+            }
+            HoldReply::Reborn => {
+                tokio::time::sleep(RETRY_MOST).await;
+            }
+            HoldReply::NoAnswer => {
+                if owned.lock().scheduler.hold_missed(&id) {
+                    log::warn!(minion:% = id; "minion silent");
+                }
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(RETRY_MOST);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/engine/src/engine.rs
@@ -0,0 +1,195 @@
+//! The engine's handle: what a program starts, feeds and stops.
+
+use std::fmt;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use kernel::{BootClock, Clock, HashMap, Incarnation};
+use ownership::{Peers, Shard, Tokens, VmInfo};
+use schedule::{JobSpec, MinionInfo};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use wire::{Client, Server, TcpConnect};
+
+use crate::beats;
+use crate::config::EngineConfig;
+use crate::control::Minions;
+use crate::core::Core;
+use crate::drive;
+use crate::handover;
+use crate::model::Configuration;
+use crate::peers::PeerHandler;
+use crate::submit::{Answer, submit};
+
+/// Why an engine can't start.
+#[derive(Debug)]
+pub enum StartError {
+    /// The machine has no clock that counts suspended time.
+    Clock(std::io::Error),
+    /// An address can't be bound.
+    Bind(SocketAddr, std::io::Error),
+    /// Beats and tokens need an IPv4 address.
+    Address(IpAddr),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::Clock(e) => write!(f, "clock of the time since boot: {e}"),
+            StartError::Bind(addr, e) => write!(f, "{addr} can't be bound: {e}"),
+            StartError::Address(ip) => write!(f, "{ip} is no IPv4 address"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// A running engine.
+#[derive(Debug)]
+pub struct Engine<M> {
+    core: Arc<Core<M>>,
+}
+
+impl<M> Clone for Engine<M> {
+    fn clone(&self) -> Engine<M> {
+        Engine {
+            core: self.core.clone(),
+        }
+    }
+}
+
+impl<M: Minions> Engine<M> {
+    /// Starts an engine. It serves no job before it has a configuration and a
+    /// register.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound.
+    pub async fn start(cfg: EngineConfig, minions: M) -> Result<Engine<M>, StartError> {
+        let clock = BootClock::new().map_err(StartError::Clock)?;
+        let IpAddr::V4(ip) = cfg.peers.ip() else {
+            return Err(StartError::Address(cfg.peers.ip()));
+        };
+        let beats_addr = SocketAddr::from((ip, cfg.beats));
+        let socket = UdpSocket::bind(beats_addr).await;
+        let socket = socket.map_err(|e| StartError::Bind(beats_addr, e))?;
+        let server = Server::bind(cfg.peers, cfg.server).await;
+        let server = server.map_err(|e| StartError::Bind(cfg.peers, e))?;
+        let me = VmInfo {
+            addr: cfg.peers,
+            domain: cfg.domain.clone(),
+            share: cfg.share,
+            incarnation: Incarnation::draw(&mut rand::rng()),
+            leaving: false,
+        };
+        let now = clock.now();
+        let mut peers = Peers::new(cfg.ownership, me, now);
+        for seed in &cfg.seeds {
+            peers.hint(*seed, now);
+        }
+        let tokens = Tokens::new(ip, clock.wall());
+        let core = Arc::new(Core {
+            client: Client::new(TcpConnect, cfg.pool),
+            minions,
+            socket,
+            configuration: ArcSwapOption::empty(),
+            register: ArcSwapOption::empty(),
+            owned: ArcSwap::default(),
+            peers: Mutex::new(peers),
+            tokens: Mutex::new(tokens),
+            away: Mutex::new(HashMap::default()),
+            moves: watch::Sender::new(0),
+            stopping: AtomicBool::new(false),
+            clock,
+            cfg,
+        });
+        tokio::spawn(server.serve(PeerHandler(core.clone())));
+        tokio::spawn(beats::receive(core.clone()));
+        tokio::spawn(beats::run(core.clone()));
+        Ok(Engine { core })
+    }
+
+    /// Puts a configuration in force unless a later one is.
+    pub fn configure(&self, configuration: Configuration) {
+        configure(&self.core, configuration);
+    }
+
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.core.configuration.load_full()
+    }
+
+    /// Takes note of all registered minions.
+    pub fn register(&self, minions: Vec<MinionInfo>) {
+        self.core.register.store(Some(Arc::new(minions)));
+        for owned in self.core.owned.load().values() {
+            drive::sync_register(&self.core, owned);
+        }
+    }
+
+    /// Takes note of an address where another VM may be.
+    pub fn hint(&self, addr: Ipv4Addr) {
+        self.core.peers().hint(addr, self.core.now());
+    }
+
+    /// Runs a job. Dropping the future cancels it.
+    pub async fn submit(&self, spec: JobSpec) -> Answer {
+        submit(&self.core, spec).await
+    }
+
+    /// Tells whether this VM should get callers: it has a configuration and is
+    /// not stopping.
+    pub fn ready(&self) -> bool {
+        !self.stopping() && self.core.configuration.load().is_some()
+    }
+
+    /// Tells whether the VM stops.
+    pub fn stopping(&self) -> bool {
+        beats::stopping(&self.core)
+    }
+
+    /// Tells whether this VM owns minions.
+    pub fn owns(&self) -> bool {
+        !self.core.owned.load().is_empty()
+    }
+
+    /// Returns how many accepted jobs of this VM's shards have not started.
+    pub fn pending(&self) -> usize {
+        let owned = self.core.owned.load();
+        owned.values().map(|o| o.lock().scheduler.pending()).sum()
+    }
+
+    /// Returns the shards that this VM owns.
+    pub fn shards(&self) -> Vec<Shard> {
+        self.core.owned.load().keys().cloned().collect()
+    }
+
+    /// Hands this VM's shards over. It goes on answering its callers.
+    pub async fn leave(&self) {
+        if self.core.stopping.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        handover::leave(&self.core).await;
+    }
+}
+
+/// Puts a configuration in force unless a later one is.
+pub(crate) fn configure<M>(core: &Core<M>, configuration: Configuration) {
+    let version = configuration.version;
+    let queues = configuration.queues.len();
+    let fresh = Arc::new(configuration);
+    let mut changed = false;
+    core.configuration.rcu(|held| {
+        changed = held.as_ref().is_none_or(|c| c.version < version);
+        match changed {
+            true => Some(fresh.clone()),
+            false => held.clone(),
+        }
+    });
+    if changed {
+        log::info!(version = version, queues = queues; "configuration in force");
+    }
+}
--- /dev/null
+++ b/components/engine/src/handover.rs
@@ -0,0 +1,110 @@
+//! A planned stop: shards go to other VMs with their jobs and runs.
+
+use std::sync::Arc;
+
+use ownership::Shard;
+
+use crate::beats;
+use crate::control::Minions;
+use crate::core::{Core, lock};
+use crate::drive;
+use crate::owned::Waiter;
+use crate::peers::{Handover, call_handover};
+
+/// Hands over every shard of this VM.
+pub(crate) async fn leave<M: Minions>(core: &Arc<Core<M>>) {
+    core.peers().leave();
+    let shards: Vec<_> = core.owned.load().keys().cloned().collect();
+    for shard in shards {
+        hand_over(core, &shard).await;
+    }
+    beats::announce(core).await;
+}
+
+async fn hand_over<M: Minions>(core: &Arc<Core<M>>, shard: &Shard) {
+    let Some(owned) = core.owned(shard) else {
+        return;
+    };
+    let now = core.now();
+    let Some(to) = core.peers().successor(shard, now).map(|vm| vm.addr) else {
+        // Nobody is left in the domain; serve on until the end.
+        log::warn!(shard:% = shard; "no VM to hand the shard to");
+        return;
+    };
+    let handover = {
+        let mut state = owned.lock();
+        // From here on nothing new is started.
+        state.live = false;
+        state.scheduler.freeze(true);
+        let from = |w: &Waiter| w.from.unwrap_or(core.cfg.peers);
+        Handover {
+            shard: shard.clone(),
+            from: core.cfg.peers,
+            state: state.scheduler.export(now),
+            origins: state
+                .waiters
+                .iter()
+                .map(|(id, w)| (id.clone(), from(w)))
+                .collect(),
+        }
+    };
+    let jobs = handover.state.jobs.len();
+    match call_handover(core, to, &handover).await {
+        Ok(()) => {
+            log::info!(shard:% = shard, owner:% = to, jobs = jobs; "shard handed over");
+            core.peers().hand_over(shard, to, core.now());
+            beats::give_up(core, shard, Some(to));
+        }
+        Err(e) if e.maybe_done() => {
+            log::warn!(shard:% = shard, owner:% = to, error:% = e; "handover not answered");
+            core.peers().hand_over(shard, to, core.now());
+            beats::give_up(core, shard, Some(to));
+        }
+        Err(e) => {
+            log::warn!(shard:% = shard, owner:% = to, error:% = e; "handover failed, served on");
+            {
+                let mut state = owned.lock();
+                state.live = true;
+                state.scheduler.freeze(false);
+            }
+            drive::sync_register(core, &owned);
+        }
+    }
+}
+
+/// Takes over a shard with its jobs and runs.
+pub(crate) fn accept<M: Minions>(core: &Arc<Core<M>>, handover: Handover) {
+    let Handover {
+        shard,
+        from,
+        state,
+        origins,
+    } = handover;
+    if core.owned(&shard).is_some() {
+        log::warn!(shard:% = shard, from:% = from; "handover of a shard that is ours");
+        return;
+    }
+    log::info!(shard:% = shard, from:% = from, jobs = state.jobs.len(); "shard accepted");
+    core.peers().accept(&shard);
+    let now = core.now();
+    let owned = crate::owned::Owned::new(shard.clone(), core.cfg.schedule.clone());
+    {
+        let mut locked = owned.lock();
+        let mut tokens = lock(&core.tokens);
+        locked.scheduler.import(now, state, || tokens.mint());
+        for (id, origin) in origins {
+            let waiter = Waiter {
+                tell: None,
+                from: Some(origin),
+                since: now,
+                serial: 0,
+            };
+            locked.waiters.insert(id, waiter);
+        }
+    }
+    beats::install(core, &owned);
+    drive::sync_register(core, &owned);
+    core.moves.send_modify(|n| *n += 1);
+    let core = core.clone();
+    tokio::spawn(async move { beats::announce(&core).await });
+}
--- /dev/null
+++ b/components/engine/src/submit.rs
@@ -0,0 +1,360 @@
+//! One job: from the entry VM to the owner of minions and back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::{Millis, Timestamp};
+use ownership::Shard;
+use schedule::{Admission, JobId, JobSpec, Outcome};
+use tokio::sync::oneshot;
+
+use crate::control::Minions;
+use crate::core::{Core, lock};
+use crate::drive;
+use crate::owned::{Ending, Owned, Waiter};
+use crate::peers::{Ask, JobCall, JobReply, call_job};
+use crate::route::{self, Candidate};
+
+/// How many shards are asked for one job. The first refusal mostly holds for
+/// all, and each more costs the caller time.
+const TRIES: usize = 2;
+
+/// How much longer than the job's deadline its owner is waited for, as the
+/// owner ends it by then.
+const OWNER_SLACK: Millis = Millis(100);
+
+/// The hint to a caller while no shard has an owner; takeovers last about that.
+const NO_OWNER_RETRY: Millis = Millis(1_000);
+
+/// How a job ended towards its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// Every task is done.
+    Completed,
+    /// It failed, and no more of it will run.
+    Failed,
+    /// Nothing of it has run or will run.
+    Refused {
+        /// When room is expected.
+        retry: Millis,
+    },
+    /// It may have run in part, and its result will not come.
+    Lost,
+}
+
+impl From<Outcome> for Answer {
+    fn from(outcome: Outcome) -> Answer {
+        match outcome {
+            Outcome::Completed => Answer::Completed,
+            Outcome::Failed => Answer::Failed,
+            Outcome::Refused { retry } => Answer::Refused { retry },
+            Outcome::Lost => Answer::Lost,
+        }
+    }
+}
+
+/// Counts a job that another VM runs for us, so that it hears our beats.
+struct AwayGuard<'a, M> {
+    core: &'a Core<M>,
+    to: SocketAddr,
+}
+
+impl<'a, M> AwayGuard<'a, M> {
+    fn new(core: &'a Core<M>, to: SocketAddr) -> AwayGuard<'a, M> {
+        *lock(&core.away).entry(to).or_insert(0) += 1;
+        AwayGuard { core, to }
+    }
+}
+
+impl<M> Drop for AwayGuard<'_, M> {
+    fn drop(&mut self) {
+        let mut away = lock(&self.core.away);
+        if let Some(count) = away.get_mut(&self.to) {
+            *count -= 1;
+            if *count == 0 {
+                away.remove(&self.to);
+            }
+        }
+    }
+}
+
+/// Cancels a job whose waiter goes away before its end.
+struct JobGuard<'a, M: Minions> {
+    core: &'a Arc<Core<M>>,
+    owned: &'a Arc<Owned>,
+    id: &'a JobId,
+    serial: u64,
+}
+
+impl<M: Minions> Drop for JobGuard<'_, M> {
+    fn drop(&mut self) {
+        let mut state = self.owned.lock();
+        let ours = state.waiters.get(self.id);
+        if ours.is_some_and(|w| w.serial == self.serial) {
+            state.waiters.remove(self.id);
+            state.scheduler.cancel(self.id, self.core.now());
+            drop(state);
+            log::info!(job:% = self.id; "caller gone, job cancelled");
+            drive::perform(self.core, self.owned);
+        }
+    }
+}
+
+/// Runs a job for a caller of this VM.
+pub(crate) async fn submit<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Answer {
+    let start = core.now();
+    let mut refused = Answer::Refused {
+        retry: NO_OWNER_RETRY,
+    };
+    let mut tried: Vec<Shard> = Vec::new();
+    while tried.len() < TRIES {
+        let left = remaining(&spec, start, core.now());
+        let Some(shard) = next_shard(core, &left, &tried) else {
+            break;
+        };
+        tried.push(shard.clone());
+        match at_owner(core, &shard, left).await {
+            Ok(Ending::Ended(Outcome::Refused { retry })) => {
+                refused = Answer::Refused { retry };
+            }
+            Ok(Ending::Ended(outcome)) => return outcome.into(),
+            Ok(Ending::Moved(to)) => return resume(core, &shard, &spec, to, start).await,
+            Err(Nothing) => {}
+        }
+    }
+    refused
+}
+
+/// The owner was not reached or was none; nothing was done.
+struct Nothing;
+
+fn next_shard<M>(core: &Core<M>, spec: &JobSpec, tried: &[Shard]) -> Option<Shard> {
+    let now = core.now();
+    let owned = core.owned.load();
+    let mine = owned.values().map(|o| Candidate {
+        shard: o.shard.clone(),
+        load: o.lock().scheduler.load(now),
+    });
+    let mut all: Vec<_> = mine.collect();
+    {
+        let peers = core.peers();
+        all.extend(peers.owners().map(|(shard, owner)| Candidate {
+            shard: shard.clone(),
+            load: owner.load,
+        }));
+    }
+    all.retain(|c| !tried.contains(&c.shard));
+    let ordered = route::order(spec, &core.cfg.domain, all);
+    ordered.into_iter().next().map(|c| c.shard)
+}
+
+/// Returns the job with the times that are left of its objective and patience.
+fn remaining(spec: &JobSpec, start: Timestamp, now: Timestamp) -> JobSpec {
+    let spent = now.since(start).0;
+    JobSpec {
+        objective: Millis(spec.objective.0.saturating_sub(spent)),
+        patience: Millis(spec.patience.0.saturating_sub(spent)),
+        ..spec.clone()
+    }
+}
+
+/// Runs a job at the owner of a shard.
+async fn at_owner<M: Minions>(
+    core: &Arc<Core<M>>,
+    shard: &Shard,
+    spec: JobSpec,
+) -> Result<Ending, Nothing> {
+    if let Some(owned) = core.owned(shard) {
+        return match run_here(core, &owned, spec, None).await {
+            JobReply::Ended(outcome) => Ok(Ending::Ended(outcome)),
+            JobReply::Moved(to) => Ok(Ending::Moved(to)),
+            JobReply::NotOwner => Err(Nothing),
+        };
+    }
+    let Some(to) = core.peers().owner(shard).map(|o| o.claim.addr) else {
+        return Err(Nothing);
+    };
+    let wait = Millis(spec.patience.0 + OWNER_SLACK.0).duration();
+    call(core, shard, to, Ask::Run(spec), wait).await
+}
+
+/// Calls an owner, and gives up when it is no longer heard.
+async fn call<M: Minions>(
+    core: &Arc<Core<M>>,
+    shard: &Shard,
+    to: SocketAddr,
+    ask: Ask,
+    wait: Duration,
+) -> Result<Ending, Nothing> {
+    let _away = AwayGuard::new(core, to);
+    let id = match &ask {
+        Ask::Run(spec) => spec.id.clone(),
+        Ask::Resume(id) => id.clone(),
+    };
+    let call = JobCall {
+        shard: shard.clone(),
+        from: core.cfg.peers,
+        ask,
+    };
+    let mut moves = core.moves.subscribe();
+    let answer = call_job(core, to, &call, wait);
+    let mut answer = std::pin::pin!(answer);
+    let reply = loop {
+        tokio::select! {
+            reply = answer.as_mut() => break reply,
+            _ = moves.changed() => {
+                if !core.peers().heard(to, core.now()) {
+                    log::warn!(job:% = id, owner:% = to; "owner not heard, job lost");
+                    return Ok(Ending::Ended(Outcome::Lost));
+                }
+            }
+        }
+    };
+    match reply {
+        Ok(JobReply::Ended(outcome)) => Ok(Ending::Ended(outcome)),
+        Ok(JobReply::Moved(to)) => Ok(Ending::Moved(to)),
+        Ok(JobReply::NotOwner) => Err(Nothing),
+        Err(e) if e.maybe_done() => {
+            log::warn!(job:% = id, owner:% = to, error:% = e; "no answer of the owner, job lost");
+            Ok(Ending::Ended(Outcome::Lost))
+        }
+        Err(e) => {
+            log::warn!(job:% = id, owner:% = to, error:% = e; "owner not reached");
+            Err(Nothing)
+        }
+    }
+}
+
+/// Waits for a job that its owner has handed over.
+async fn resume<M: Minions>(
+    core: &Arc<Core<M>>,
+    shard: &Shard,
+    spec: &JobSpec,
+    to: SocketAddr,
+    start: Timestamp,
+) -> Answer {
+    let mut to = to;
+    loop {
+        let left = remaining(spec, start, core.now());
+        if left.patience.0 == 0 {
+            return Answer::Lost;
+        }
+        let ending = if to == core.cfg.peers {
+            match core.owned(shard) {
+                Some(owned) => resume_here(core, &owned, &spec.id, None).await,
+                None => return Answer::Lost,
+            }
+        } else {
+            let wait = Millis(left.patience.0 + OWNER_SLACK.0).duration();
+            match call(core, shard, to, Ask::Resume(spec.id.clone()), wait).await {
+                Ok(Ending::Ended(outcome)) => return outcome.into(),
+                Ok(Ending::Moved(next)) => JobReply::Moved(next),
+                Err(Nothing) => return Answer::Lost,
+            }
+        };
+        match ending {
+            JobReply::Ended(outcome) => return outcome.into(),
+            JobReply::Moved(next) => to = next,
+            JobReply::NotOwner => return Answer::Lost,
+        }
+    }
+}
+
+/// Runs a job on a shard of this VM, for a caller of its own or of another VM.
+pub(crate) async fn run_here<M: Minions>(
+    core: &Arc<Core<M>>,
+    owned: &Arc<Owned>,
+    spec: JobSpec,
+    from: Option<SocketAddr>,
+) -> JobReply {
+    let id = spec.id.clone();
+    let now = core.now();
+    let (tell, told) = oneshot::channel();
+    let serial = {
+        let mut state = owned.lock();
+        if !state.live {
+            return JobReply::NotOwner;
+        }
+        if state.scheduler.knows(&id) {
+            // The caller has sent it again, so it has given up the first.
+            log::info!(job:% = id; "job sent again while it ran, the first is stopped");
+            state.scheduler.cancel(&id, now);
+            let first = state.waiters.remove(&id).and_then(|w| w.tell);
+            if let Some(first) = first {
+                // It fails if that caller is gone already.
+                let _ = first.send(Ending::Ended(Outcome::Lost));
+            }
+        }
+        state.serial += 1;
+        let serial = state.serial;
+        match state.scheduler.submit(now, spec) {
+            Admission::Refused { retry } => {
+                let load = state.scheduler.load(now);
+                drop(state);
+                drive::perform(core, owned);
+                log::info!(job:% = id, shard:% = owned.shard, retry_ms = retry.0, free = load.free,
+                    waiting = load.waiting, cores = load.cores; "job refused, no room in time");
+                return JobReply::Ended(Outcome::Refused { retry });
+            }
+            Admission::Taken => {}
+        }
+        let waiter = Waiter {
+            tell: Some(tell),
+            from,
+            since: now,
+            serial,
+        };
+        state.waiters.insert(id.clone(), waiter);
+        serial
+    };
+    wait_here(core, owned, &id, serial, told).await
+}
+
+/// Waits for a job that was handed over to this VM.
+pub(crate) async fn resume_here<M: Minions>(
+    core: &Arc<Core<M>>,
+    owned: &Arc<Owned>,
+    id: &JobId,
+    from: Option<SocketAddr>,
+) -> JobReply {
+    let (tell, told) = oneshot::channel();
+    let serial = {
+        let mut state = owned.lock();
+        if let Some((outcome, _)) = state.kept.remove(id) {
+            return JobReply::Ended(outcome);
+        }
+        state.serial += 1;
+        let serial = state.serial;
+        let Some(waiter) = state.waiters.get_mut(id) else {
+            return JobReply::Ended(Outcome::Lost);
+        };
+        waiter.tell = Some(tell);
+        waiter.from = from;
+        waiter.serial = serial;
+        serial
+    };
+    wait_here(core, owned, id, serial, told).await
+}
+
+async fn wait_here<M: Minions>(
+    core: &Arc<Core<M>>,
+    owned: &Arc<Owned>,
+    id: &JobId,
+    serial: u64,
+    told: oneshot::Receiver<Ending>,
+) -> JobReply {
+    let guard = JobGuard {
+        core,
+        owned,
+        id,
+        serial,
+    };
+    drive::perform(core, owned);
+    let ending = told.await;
+    drop(guard);
+    match ending {
+        Ok(ending) => ending.into(),
+        Err(_) => JobReply::Ended(Outcome::Lost),
+    }
+}
--- a/components/entry/src/beat.rs
+++ b/components/entry/src/beat.rs
@@ -48,18 +48,18 @@
 pub type Beat = membership::Beat<Load>;
 
 /// Converts the platform's list to what membership knows.
-pub fn listed(listing: &platform::Listing) -> Listing {
-    let vm = |row: &platform::VmRow| ListedVm {
+pub fn listed(listing: &logstore::Listing) -> Listing {
+    let vm = |row: &logstore::VmRow| ListedVm {
         id: row.id.clone(),
         domain: row.domain.clone(),
         callers: row.callers,
         peers: row.peers,
         presence: match row.presence {
-            platform::Presence::Live => Presence::Live,
-            platform::Presence::Leaving => Presence::Leaving,
+            logstore::Presence::Live => Presence::Live,
+            logstore::Presence::Leaving => Presence::Leaving,
         },
     };
-    let leaving = |row: &&platform::MinionRow| row.presence == platform::Presence::Leaving;
+    let leaving = |row: &&logstore::MinionRow| row.presence == logstore::Presence::Leaving;
     let minions = listing.minions.iter().filter(leaving);
     Listing {
         vms: listing.vms.iter().map(vm).collect(),
--- a/components/entry/src/claimer.rs
+++ b/components/entry/src/claimer.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use jobs::{ClaimError, ClaimRecord, Claims, Coverage, Decided, Enlisted, KeyHash, Owner, Release};
 use kernel::{HashMap, Offset};
-use platform::{AppendError, Chunk, Platform, Stream};
+use logstore::{AppendError, Chunk, Platform, Stream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep_until};
 
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -8,8 +8,8 @@
 use jobs::Coverage;
 use kernel::{Clock, Millis, MinionId, Offset, Slots, Team};
 use limits::Share;
+use logstore::{Listing, Platform, Presence, Stream};
 use membership::{Health, PeerView, View};
-use platform::{Listing, Platform, Presence, Stream};
 use routing::{MinionInfo, Policy};
 use sheet::Subject;
 use timeline::{EventKind, Note};
@@ -301,7 +301,7 @@
 }
 
 /// Returns the services of a minion that the sheet gives any slot there.
-fn allowed(sheet: &sheet::Sheet, row: &platform::MinionRow) -> Vec<kernel::Service> {
+fn allowed(sheet: &sheet::Sheet, row: &logstore::MinionRow) -> Vec<kernel::Service> {
     let given = |s: &&kernel::Service| {
         let slots = sheet.service_slots(s, &row.domain);
         slots.is_some_and(|n| n > Slots(0))
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -4,7 +4,7 @@
 
 use jobs::{Coverage, JobSpec, Kept, Outcome, WindowState};
 use kernel::{Incarnation, JobKey, Millis, VmId};
-use platform::Listing;
+use logstore::Listing;
 use serde::{Deserialize, Serialize};
 use sheet::Snapshot;
 
--- a/components/entry/src/sheets.rs
+++ b/components/entry/src/sheets.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use kernel::{Millis, Offset, Timestamp};
-use platform::{Chunk, Platform, Stream};
+use logstore::{Chunk, Platform, Stream};
 use sheet::{Adopted, Held, LogExtent, RenewalRule, SheetLog, SheetRecord, Snapshot, Verdict};
 use timeline::{EventKind, Note};
 use tokio::sync::Notify;
--- a/components/entry/tests/at_most_once.rs
+++ b/components/entry/tests/at_most_once.rs
@@ -8,7 +8,7 @@
 use common::{Fleet, WAIT, config, domain};
 use hyper::Method;
 use kernel::Millis;
-use platform::{HttpPlatform, Platform, Stream};
+use logstore::{HttpPlatform, Platform, Stream};
 use serde_json::Value;
 use wire::{Client, PoolLimits, TcpConnect};
 
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request};
 use kernel::{Cores, Domain, Millis, Service, Slots, VmId};
 use limits::LimitsConfig;
-use platform::{HttpPlatform, Listing, Platform, Presence, Stream, VmRow};
+use logstore::{HttpPlatform, Listing, Platform, Presence, Stream, VmRow};
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use routing::RoutingConfig;
--- a/components/kernel/src/clock.rs
+++ b/components/kernel/src/clock.rs
@@ -44,8 +44,50 @@
     }
 
     fn wall(&self) -> Millis {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        Millis(since.map_or(0, |d| d.as_millis() as u64))
+        unix_millis()
+    }
+}
+
+fn unix_millis() -> Millis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Millis(since.map_or(0, |d| d.as_millis() as u64))
+}
+
+/// A clock that also counts the time for which the machine was suspended, so
+/// that a VM that wakes up does not take stale work for fresh.
+#[derive(Debug, Clone)]
+pub struct BootClock {
+    /// When the clock started, in microseconds from the machine's boot.
+    start: u64,
+}
+
+impl BootClock {
+    /// Starts a clock at zero.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system has no such clock.
+    pub fn new() -> std::io::Result<BootClock> {
+        Ok(BootClock {
+            start: boot_micros()?,
+        })
+    }
+}
+
+fn boot_micros() -> std::io::Result<u64> {
+    let time = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME)?;
+    Ok(time.tv_sec() as u64 * 1_000_000 + time.tv_nsec() as u64 / 1000)
+}
+
+impl Clock for BootClock {
+    fn now(&self) -> Timestamp {
+        // The clock was read at the start, so it can be read now.
+        let now = boot_micros().unwrap_or(self.start);
+        Timestamp(now.saturating_sub(self.start))
+    }
+
+    fn wall(&self) -> Millis {
+        unix_millis()
     }
 }
 
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -10,7 +10,7 @@
 mod text;
 mod units;
 
-pub use clock::{Clock, ManualClock, SystemClock};
+pub use clock::{BootClock, Clock, ManualClock, SystemClock};
 pub use hash::{HashMap, HashSet, key_hash};
 pub use ids::{
     Domain, IdError, Incarnation, JobKey, MinionId, Place, Service, TaskId, Team, Ticket, VmId,
--- /dev/null
+++ b/components/ownership/src/config.rs
@@ -0,0 +1,44 @@
+//! The settings of ownership.
+
+use kernel::Millis;
+
+/// Times of the beats and of takeovers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OwnershipConfig {
+    /// Time between an owner's beats.
+    pub beat: Millis,
+    /// Time between the beats of a VM that owns nothing.
+    pub idle_beat: Millis,
+    /// How long a VM is taken for alive without a beat while it owns a shard
+    /// or has jobs with us: four lost beats.
+    pub silence: Millis,
+    /// How long a VM that owns nothing is taken for alive without a beat.
+    pub idle_silence: Millis,
+    /// How long a new VM listens before it takes a shard.
+    pub listen: Millis,
+    /// How much later each next candidate takes a shard without owner, so that
+    /// the first one's beat arrives before.
+    pub stagger: Millis,
+    /// How much later candidates of other domains do.
+    pub abroad: Millis,
+    /// After how long a silent VM is forgotten.
+    pub forget: Millis,
+    /// How long a VM that was fenced off a shard leaves it alone.
+    pub yield_time: Millis,
+}
+
+impl Default for OwnershipConfig {
+    fn default() -> OwnershipConfig {
+        OwnershipConfig {
+            beat: Millis(100),
+            idle_beat: Millis(500),
+            silence: Millis(450),
+            idle_silence: Millis(2_200),
+            listen: Millis(500),
+            stagger: Millis(150),
+            abroad: Millis(1_500),
+            forget: Millis(30_000),
+            yield_time: Millis(1_000),
+        }
+    }
+}
--- /dev/null
+++ b/components/ownership/src/peers.rs
@@ -0,0 +1,336 @@
+//! What a VM knows of the others, and when it takes a shard itself.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use kernel::{Domain, HashMap, Timestamp, key_hash};
+use schedule::Load;
+
+use crate::beat::{Beat, Claim, Epoch, Report, VmInfo};
+use crate::config::OwnershipConfig;
+use crate::shard::Shard;
+
+/// Another VM.
+#[derive(Debug, Clone)]
+struct Peer {
+    /// What it last said; nothing if it was only heard of.
+    info: Option<VmInfo>,
+    /// When it was last heard, or first heard of.
+    heard: Timestamp,
+    /// The version of its configuration.
+    version: u64,
+}
+
+/// The owner of a shard as far as this VM knows.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Owner {
+    /// Its claim.
+    pub claim: Claim,
+    /// Its last report of the shard.
+    pub load: Load,
+    /// When that came.
+    pub heard: Timestamp,
+}
+
+/// What has changed in who owns what.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// This VM owns the shard from now on.
+    Taken(Shard, Epoch),
+    /// Another VM owns the shard that was ours.
+    Yielded(Shard, SocketAddr),
+    /// The shard's owner, another VM, has changed.
+    Owner(Shard, SocketAddr),
+    /// The shard's owner is not heard any more.
+    Lost(Shard, SocketAddr),
+}
+
+/// The VMs and shards as one VM sees them.
+#[derive(Debug)]
+pub struct Peers {
+    cfg: OwnershipConfig,
+    me: VmInfo,
+    started: Timestamp,
+    peers: HashMap<Ipv4Addr, Peer>,
+    owners: HashMap<Shard, Owner>,
+    /// Shards that this VM owns.
+    mine: HashMap<Shard, Claim>,
+    /// The highest epoch heard of.
+    epochs: HashMap<Shard, Epoch>,
+    /// Since when a shard has had no owner.
+    vacant: HashMap<Shard, Timestamp>,
+    /// Until when a shard is left alone.
+    yielded: HashMap<Shard, Timestamp>,
+}
+
+impl Peers {
+    /// Starts with nothing known.
+    pub fn new(cfg: OwnershipConfig, me: VmInfo, now: Timestamp) -> Peers {
+        Peers {
+            cfg,
+            me,
+            started: now,
+            peers: HashMap::default(),
+            owners: HashMap::default(),
+            mine: HashMap::default(),
+            epochs: HashMap::default(),
+            vacant: HashMap::default(),
+            yielded: HashMap::default(),
+        }
+    }
+
+    /// Returns who this VM is.
+    pub fn me(&self) -> &VmInfo {
+        &self.me
+    }
+
+    /// Notes an address where a VM may be.
+    pub fn hint(&mut self, addr: Ipv4Addr, now: Timestamp) {
+        if SocketAddr::from((addr, 0)).ip() == self.me.addr.ip() {
+            return;
+        }
+        self.peers.entry(addr).or_insert(Peer {
+            info: None,
+            heard: now,
+            version: 0,
+        });
+    }
+
+    /// Takes note of a beat.
+    pub fn hear(&mut self, beat: Beat, now: Timestamp) -> Vec<Change> {
+        let std::net::IpAddr::V4(ip) = beat.from.addr.ip() else {
+            return Vec::new();
+        };
+        if beat.from.addr == self.me.addr {
+            return Vec::new();
+        }
+        for addr in beat.known {
+            self.hint(addr, now);
+        }
+        let from = beat.from.addr;
+        let leaving = beat.from.leaving;
+        let peer = Peer {
+            info: Some(beat.from),
+            heard: now,
+            version: beat.version,
+        };
+        self.peers.insert(ip, peer);
+        // An owner that no longer reports a shard has given it up.
+        let kept = |shard: &Shard| beat.reports.iter().any(|r| r.shard == *shard);
+        self.owners
+            .retain(|shard, owner| owner.claim.addr != from || kept(shard));
+        let reports = beat.reports.into_iter();
+        reports
+            .filter_map(|report| self.hear_report(report, leaving, now))
+            .collect()
+    }
+
+    fn hear_report(&mut self, report: Report, leaving: bool, now: Timestamp) -> Option<Change> {
+        let Report { shard, claim, load } = report;
+        let epoch = self.epochs.entry(shard.clone()).or_default();
+        *epoch = (*epoch).max(claim.epoch);
+        if let Some(mine) = self.mine.get(&shard) {
+            if !claim.beats(mine) || leaving {
+                return None;
+            }
+            self.mine.remove(&shard);
+            self.own(&shard, claim, load, now);
+            return Some(Change::Yielded(shard, claim.addr));
+        }
+        let known = self.owners.get(&shard).map(|o| o.claim);
+        if let Some(known) = known
+            && known.addr != claim.addr
+            && known.beats(&claim)
+        {
+            return None;
+        }
+        self.own(&shard, claim, load, now);
+        let same = known.is_some_and(|k| k.addr == claim.addr);
+        (!same).then_some(Change::Owner(shard, claim.addr))
+    }
+
+    fn own(&mut self, shard: &Shard, claim: Claim, load: Load, now: Timestamp) {
+        self.vacant.remove(shard);
+        let owner = Owner {
+            claim,
+            load,
+            heard: now,
+        };
+        self.owners.insert(shard.clone(), owner);
+    }
+
+    /// Gives up a shard whose minions obey another VM, and leaves it alone for
+    /// a while.
+    pub fn yield_shard(&mut self, shard: &Shard, now: Timestamp) {
+        if self.mine.remove(shard).is_some() {
+            let until = now.after(self.cfg.yield_time);
+            self.yielded.insert(shard.clone(), until);
+        }
+    }
+
+    /// Does what time asks for, given the shards that there are.
+    pub fn tick(&mut self, shards: &[Shard], now: Timestamp) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let silence = self.cfg.silence;
+        self.owners.retain(|shard, owner| {
+            let alive = now.since(owner.heard) < silence;
+            if !alive {
+                changes.push(Change::Lost(shard.clone(), owner.claim.addr));
+            }
+            alive
+        });
+        let forget = self.cfg.forget;
+        self.peers.retain(|_, p| now.since(p.heard) < forget);
+        self.yielded.retain(|_, until| now < *until);
+        if self.me.leaving || now.since(self.started) < self.cfg.listen {
+            return changes;
+        }
+        for shard in shards {
+            let left_alone = self.yielded.contains_key(shard);
+            if self.mine.contains_key(shard) || self.owners.contains_key(shard) || left_alone {
+                continue;
+            }
+            let since = *self.vacant.entry(shard.clone()).or_insert(now);
+            let Some(delay) = self.delay(shard, now) else {
+                continue;
+            };
+            if now.micros_since(since) >= delay {
+                let epoch = self.claim(shard);
+                changes.push(Change::Taken(shard.clone(), epoch));
+            }
+        }
+        changes
+    }
+
+    /// Returns after how many microseconds without owner this VM takes a shard.
+    fn delay(&self, shard: &Shard, now: Timestamp) -> Option<u64> {
+        let score = |vm: &VmInfo| {
+            let key = format!("{shard} {}", vm.addr);
+            (
+                vm.domain == shard.domain,
+                vm.share,
+                key_hash(key.as_bytes()),
+            )
+        };
+        let mine = score(&self.me);
+        let before = self.alive(now).filter(|vm| !vm.leaving);
+        let before = before.filter(|vm| score(vm) > mine);
+        let before: Vec<_> = before.map(|vm| vm.domain == shard.domain).collect();
+        let rank = before.len() as u64;
+        let mut delay = rank * self.cfg.stagger.micros();
+        if self.me.domain != shard.domain {
+            // Its own domain's VMs reach the minions best.
+            if before.contains(&true) {
+                return None;
+            }
+            delay += self.cfg.abroad.micros();
+        }
+        Some(delay)
+    }
+
+    fn claim(&mut self, shard: &Shard) -> Epoch {
+        let epoch = self.epochs.entry(shard.clone()).or_default();
+        epoch.0 += 1;
+        let claim = Claim {
+            home: self.me.domain == shard.domain,
+            epoch: *epoch,
+            addr: self.me.addr,
+        };
+        self.vacant.remove(shard);
+        self.mine.insert(shard.clone(), claim);
+        claim.epoch
+    }
+
+    /// Takes a shard at once, because its owner hands it over.
+    pub fn accept(&mut self, shard: &Shard) -> Epoch {
+        self.owners.remove(shard);
+        self.claim(shard)
+    }
+
+    /// Stops taking shards.
+    pub fn leave(&mut self) {
+        self.me.leaving = true;
+    }
+
+    /// Gives up a shard that another VM has accepted.
+    pub fn hand_over(&mut self, shard: &Shard, to: SocketAddr, now: Timestamp) {
+        if let Some(mine) = self.mine.remove(shard) {
+            let claim = Claim {
+                epoch: Epoch(mine.epoch.0 + 1),
+                addr: to,
+                ..mine
+            };
+            self.own(shard, claim, Load::default(), now);
+        }
+    }
+
+    /// Returns the VM that should take over a shard of this one.
+    pub fn successor(&self, shard: &Shard, now: Timestamp) -> Option<VmInfo> {
+        let fit = self.alive(now).filter(|vm| !vm.leaving);
+        let fit = fit.filter(|vm| vm.domain == shard.domain);
+        fit.max_by_key(|vm| (vm.share, vm.addr)).cloned()
+    }
+
+    /// Returns the VMs heard of lately.
+    pub fn alive(&self, now: Timestamp) -> impl Iterator<Item = &VmInfo> {
+        let silence = self.cfg.idle_silence;
+        let heard = self
+            .peers
+            .values()
+            .filter(move |p| now.since(p.heard) < silence);
+        heard.filter_map(|p| p.info.as_ref())
+    }
+
+    /// Tells whether a VM was heard within the time of an owner's silence.
+    pub fn heard(&self, addr: SocketAddr, now: Timestamp) -> bool {
+        let std::net::IpAddr::V4(ip) = addr.ip() else {
+            return false;
+        };
+        let silence = self.cfg.silence;
+        let peer = self.peers.get(&ip);
+        peer.is_some_and(|p| now.since(p.heard) < silence)
+    }
+
+    /// Returns all addresses where a VM may be.
+    pub fn addrs(&self) -> impl Iterator<Item = Ipv4Addr> {
+        self.peers.keys().copied()
+    }
+
+    /// Returns the newest VM with a configuration later than `version`.
+    pub fn ahead(&self, version: u64, now: Timestamp) -> Option<SocketAddr> {
+        let silence = self.cfg.idle_silence;
+        let heard = self.peers.values();
+        let heard = heard.filter(|p| p.version > version && now.since(p.heard) < silence);
+        let newest = heard.max_by_key(|p| p.version)?;
+        newest.info.as_ref().map(|i| i.addr)
+    }
+
+    /// Returns a shard's owner, other than this VM.
+    pub fn owner(&self, shard: &Shard) -> Option<&Owner> {
+        self.owners.get(shard)
+    }
+
+    /// Returns the shards of other VMs and their owners.
+    pub fn owners(&self) -> impl Iterator<Item = (&Shard, &Owner)> {
+        self.owners.iter()
+    }
+
+    /// Returns the shards of this VM.
+    pub fn mine(&self) -> impl Iterator<Item = (&Shard, &Claim)> {
+        self.mine.iter()
+    }
+
+    /// Tells whether this VM owns a shard.
+    pub fn owns(&self, shard: &Shard) -> bool {
+        self.mine.contains_key(shard)
+    }
+
+    /// Returns the domains that any VM is in.
+    pub fn domains(&self) -> Vec<Domain> {
+        let infos = self.peers.values().filter_map(|p| p.info.as_ref());
+        let mut all: Vec<_> = infos.map(|i| i.domain.clone()).collect();
+        all.push(self.me.domain.clone());
+        all.sort();
+        all.dedup();
+        all
+    }
+}
--- a/components/replay/src/fleet.rs
+++ b/components/replay/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 use kernel::{Cores, Domain, HashMap, Millis, MinionId, VmId};
-use platform::{Listing, Presence, VmRow};
+use logstore::{Listing, Presence, VmRow};
 use routing::RoutingConfig;
 use standins::{
     Endpoint, Hops, Ledger, MinionConfig, MinionStandin, Net, PlatformConfig, PlatformStandin,
--- a/components/replay/src/vm.rs
+++ b/components/replay/src/vm.rs
@@ -9,7 +9,7 @@
 use entry::{Config, StartError, Vm};
 use kernel::{Domain, Millis, VmId};
 use limits::LimitsConfig;
-use platform::{Presence, VmRow};
+use logstore::{Presence, VmRow};
 use routing::RoutingConfig;
 use standins::Net;
 use tokio::runtime::{Builder, Runtime};
--- a/components/replay/src/watch.rs
+++ b/components/replay/src/watch.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use kernel::{HashMap, Millis, Offset, VmId};
-use platform::{AppendError, HttpPlatform, Platform, Stream};
+use logstore::{AppendError, HttpPlatform, Platform, Stream};
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use serde::Deserialize;
--- /dev/null
+++ b/components/schedule/src/answers.rs
@@ -0,0 +1,257 @@
+//! What the scheduler makes of the minions' answers.
+
+use kernel::{Millis, MinionId, Timestamp};
+
+use crate::ids::{Fence, LeaseTime, RunNumber, TaskName};
+use crate::job::{Outcome, TaskState};
+use crate::minion::{EndKind, Grip, HoldOrder, Listing, StartReply};
+use crate::run::{Phase, Run};
+use crate::scheduler::Scheduler;
+
+/// Holds unanswered in a row after which a minion counts as silent and its
+/// lease is no longer renewed; a single one gets lost now and then.
+const SILENT_MISSES: u32 = 2;
+
+impl Scheduler {
+    /// Returns the next hold to send to a minion; none if it is not here.
+    pub fn hold(&mut self, id: &MinionId, now: Timestamp) -> Option<HoldOrder> {
+        if self.frozen {
+            return None;
+        }
+        let lease = self.cfg.lease.0;
+        let wait = self.cfg.hold_wait;
+        let minion = self.minions.get_mut(id)?;
+        // A lease renewed on a minion whose answers don't arrive would keep
+        // runs alive that nobody can stop.
+        let renew = minion.grip == Grip::Held;
+        let until = renew.then(|| minion.clock_at(now)).flatten();
+        if until.is_some() {
+            minion.leased = now;
+        }
+        let calm = renew && minion.misses == 0;
+        Some(HoldOrder {
+            addr: minion.info.addr,
+            fence: minion.fence,
+            seen: minion.seen,
+            lease: until.map(|clock| clock.after(lease)),
+            wait: if calm { wait } else { Millis(0) },
+        })
+    }
+
+    /// Takes note of a hold that got no answer. Returns true if the minion
+    /// counts as silent from now on.
+    pub fn hold_missed(&mut self, id: &MinionId) -> bool {
+        let Some(minion) = self.minions.get_mut(id) else {
+            return false;
+        };
+        minion.misses += 1;
+        let silent = minion.grip == Grip::Held && minion.misses >= SILENT_MISSES;
+        if silent {
+            minion.grip = Grip::Silent;
+        }
+        silent
+    }
+
+    /// Takes note that a minion has seen a higher token: what runs there is
+    /// another owner's now. `refused` is the token that it turned away, `next`
+    /// the one for taking it again.
+    pub fn fenced(&mut self, id: &MinionId, refused: Fence, next: Fence) {
+        if let Some(minion) = self.minions.get_mut(id)
+            && minion.fence == refused
+        {
+            minion.grip = Grip::Taking;
+            minion.fence = next;
+        }
+    }
+
+    /// Takes note of what a minion lists. Returns true if it was not held
+    /// before.
+    pub fn listed(&mut self, id: &MinionId, list: Listing, now: Timestamp) -> bool {
+        if self.frozen {
+            return false;
+        }
+        let Some(minion) = self.minions.get_mut(id) else {
+            return false;
+        };
+        if list.born < minion.info.born {
+            return false;
+        }
+        if list.born > minion.info.born {
+            self.reborn(id, list.born);
+        }
+        let Some(minion) = self.minions.get_mut(id) else {
+            return false;
+        };
+        let newest = minion.clock.is_none_or(|(clock, _)| list.clock >= clock);
+        minion.hear_clock(list.clock, now);
+        minion.misses = 0;
+        minion.full = false;
+        let taken = minion.grip != Grip::Held;
+        minion.grip = Grip::Held;
+        let mut ended = Vec::new();
+        for end in &list.ended {
+            if end.number <= minion.seen {
+                continue;
+            }
+            minion.seen = end.number;
+            if let Some(run) = minion.remove(&end.task, end.run) {
+                ended.push((run, end.kind));
+            }
+        }
+        let gone = match newest {
+            true => minion.compare(&list, now),
+            false => Vec::new(),
+        };
+        let foreign = minion.runs.iter();
+        let foreign = foreign.filter(|r| r.of.is_none() && r.stopping.is_none());
+        let foreign: Vec<_> = foreign.map(|r| (r.task.clone(), r.number)).collect();
+        for (task, number) in foreign {
+            self.stop(id, &task, number, now);
+        }
+        for (run, kind) in ended {
+            self.ended(id, &run, kind, now);
+        }
+        for run in gone {
+            self.requeue(&run);
+        }
+        self.place(now);
+        taken
+    }
+
+    /// Takes note of the answer to a start.
+    pub fn started(
+        &mut self,
+        id: &MinionId,
+        task: &TaskName,
+        number: RunNumber,
+        reply: StartReply,
+        now: Timestamp,
+    ) {
+        if self.frozen {
+            return;
+        }
+        let Some(minion) = self.minions.get_mut(id) else {
+            return;
+        };
+        match reply {
+            StartReply::Accepted(clock)
+            | StartReply::Old(clock)
+            | StartReply::Late(clock)
+            | StartReply::Full(clock) => minion.hear_clock(clock, now),
+            _ => {}
+        }
+        match reply {
+            StartReply::Accepted(clock) => {
+                if let Some(run) = minion.run_mut(task, number) {
+                    run.phase = Phase::Running;
+                    run.accepted = Some(clock);
+                }
+                return;
+            }
+            StartReply::NoAnswer => {
+                if let Some(run) = minion.run_mut(task, number)
+                    && run.phase == Phase::Starting
+                {
+                    run.phase = Phase::Unsure;
+                    self.stop(id, task, number, now);
+                }
+                return;
+            }
+            StartReply::Full(_) => minion.full = true,
+            StartReply::Unhealthy => minion.health.failed(),
+            _ => {}
+        }
+        let Some(run) = minion.remove(task, number) else {
+            return;
+        };
+        match reply {
+            StartReply::Malformed => self.fail(&run, now),
+            _ => self.requeue(&run),
+        }
+        self.place(now);
+    }
+
+    /// Takes note of the answer to a stop; the room is free when a list shows
+    /// the run gone.
+    pub fn stopped(&mut self, id: &MinionId, task: &TaskName, number: RunNumber, clock: LeaseTime) {
+        let Some(minion) = self.minions.get_mut(id) else {
+            return;
+        };
+        if let Some(run) = minion.run_mut(task, number) {
+            run.stopped = Some(clock);
+        }
+    }
+
+    /// Forgets all that is known of a minion whose process is a new one. Its
+    /// size is unknown until the register tells it.
+    fn reborn(&mut self, id: &MinionId, born: u64) {
+        self.end_all(id);
+        if let Some(minion) = self.minions.get_mut(id) {
+            minion.info.born = born;
+            minion.info.draining = true;
+            minion.seen = 0;
+            minion.clock = None;
+        }
+    }
+
+    /// Takes note of how a run ended.
+    fn ended(&mut self, id: &MinionId, run: &Run, kind: EndKind, now: Timestamp) {
+        let took = now.since(run.sent).0 as f64;
+        if let Some(minion) = self.minions.get_mut(id) {
+            let ratio = took / run.usual.0.max(1) as f64;
+            match kind {
+                EndKind::Done if run.of.is_some() => minion.health.succeeded(ratio),
+                EndKind::Failed if run.of.is_some() => minion.health.failed(),
+                _ => {}
+            }
+        }
+        match kind {
+            EndKind::Done => self.done(run, took, now),
+            EndKind::Failed => self.fail(run, now),
+            EndKind::Stopped | EndKind::Lapsed => self.requeue(run),
+        }
+    }
+
+    fn done(&mut self, run: &Run, took: f64, now: Timestamp) {
+        let Some((id, index)) = &run.of else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let task = &mut job.tasks[*index];
+        if task.state != TaskState::Placed || task.run != run.number {
+            return;
+        }
+        task.state = TaskState::Done;
+        let step = usize::from(task.step);
+        job.open[step] -= 1;
+        let estimate = job.spec.steps[step].estimate.0.max(1) as f64;
+        let queue = job.spec.queue.clone();
+        let done = job.done();
+        self.learn(&queue, took / estimate);
+        if done {
+            self.settle(id, Outcome::Completed, now);
+        }
+    }
+
+    /// Counts a failed run; the job fails when its task may not fail again.
+    fn fail(&mut self, run: &Run, now: Timestamp) {
+        let Some((id, index)) = &run.of else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let task = &mut job.tasks[*index];
+        if task.run != run.number {
+            return;
+        }
+        task.failures += 1;
+        if task.failures >= job.spec.attempts {
+            self.settle(id, Outcome::Failed, now);
+        } else {
+            self.requeue(run);
+        }
+    }
+}
--- /dev/null
+++ b/components/schedule/src/order.rs
@@ -0,0 +1,44 @@
+//! In which order waiting jobs get room.
+//!
+//! A job counts only when its last task ends, so the order is by job. The job
+//! that must start first to meet its objective goes first; jobs that can't meet
+//! it any more wait behind all that can.
+
+use kernel::Timestamp;
+
+use crate::job::Job;
+
+/// How much sooner a job of one priority level higher is taken, in
+/// microseconds; small against objectives, so that no level starves.
+const PRIORITY_STEP_US: u64 = 10_000;
+
+/// How far estimates may be off: a job counts as late when it would be with so
+/// much of its expected time, as refusing it a start on a wrong estimate would
+/// fail it for certain.
+pub(crate) const DOUBT: f64 = 0.7;
+
+/// A job's place in the queue; the least goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    /// True if it can't meet its objective any more.
+    late: bool,
+    /// Its latest start, by priority.
+    start: u64,
+}
+
+/// Ranks a job at `now`.
+pub(crate) fn rank(job: &Job, now: Timestamp) -> Rank {
+    Rank {
+        late: late(job, now),
+        start: job.latest().0 + u64::from(job.spec.priority) * PRIORITY_STEP_US,
+    }
+}
+
+/// Tells whether a job can't end in time any more.
+pub(crate) fn late(job: &Job, now: Timestamp) -> bool {
+    let least = (job.expected.micros() as f64 * DOUBT) as u64;
+    match job.started {
+        true => now > job.due(),
+        false => Timestamp(now.0 + least) > job.due(),
+    }
+}
--- /dev/null
+++ b/components/schedule/src/resources.rs
@@ -0,0 +1,89 @@
+//! What a task needs and a minion has, in several dimensions.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// Defines an amount with `Display` and `FromStr`.
+macro_rules! amount {
+    ($(#[$doc:meta])* $name:ident, $unit:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u32);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{}", $unit), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIntError;
+
+            fn from_str(s: &str) -> Result<$name, ParseIntError> {
+                s.strip_suffix($unit).unwrap_or(s).parse().map($name)
+            }
+        }
+    };
+}
+
+amount! {
+    /// Thousandths of a processor core.
+    MilliCores, "m"
+}
+
+amount! {
+    /// Memory in mebibytes.
+    Mebibytes, "Mi"
+}
+
+amount! {
+    /// Whole accelerators.
+    Gpus, ""
+}
+
+/// An amount of each resource.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Resources {
+    /// Processor.
+    pub cpu: MilliCores,
+    /// Memory.
+    pub memory: Mebibytes,
+    /// Accelerators.
+    pub gpus: Gpus,
+}
+
+impl Resources {
+    /// Tells whether this amount fits into `room` in every dimension.
+    pub fn fits(&self, room: &Resources) -> bool {
+        self.cpu <= room.cpu && self.memory <= room.memory && self.gpus <= room.gpus
+    }
+
+    /// Returns what is left of this amount without `part`, at least zero.
+    pub fn without(&self, part: &Resources) -> Resources {
+        Resources {
+            cpu: MilliCores(self.cpu.0.saturating_sub(part.cpu.0)),
+            memory: Mebibytes(self.memory.0.saturating_sub(part.memory.0)),
+            gpus: Gpus(self.gpus.0.saturating_sub(part.gpus.0)),
+        }
+    }
+
+    /// Returns the sum of both amounts.
+    pub fn with(&self, part: &Resources) -> Resources {
+        Resources {
+            cpu: MilliCores(self.cpu.0.saturating_add(part.cpu.0)),
+            memory: Mebibytes(self.memory.0.saturating_add(part.memory.0)),
+            gpus: Gpus(self.gpus.0.saturating_add(part.gpus.0)),
+        }
+    }
+}
+
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {} {}gpu", self.cpu, self.memory, self.gpus)
+    }
+}
--- a/components/slopes/src/bed.rs
+++ b/components/slopes/src/bed.rs
@@ -10,7 +10,7 @@
 use hyper::Request;
 use kernel::{Millis, Offset};
 use limits::LimitsConfig;
-use platform::{HttpPlatform, Listing, MinionRow, Platform, Presence, Stream, VmRow};
+use logstore::{HttpPlatform, Listing, MinionRow, Platform, Presence, Stream, VmRow};
 use routing::RoutingConfig;
 use standins::{PlatformConfig, PlatformStandin};
 use tokio::runtime::{Builder, Runtime};
--- a/components/slopes/src/keys.rs
+++ b/components/slopes/src/keys.rs
@@ -7,7 +7,7 @@
 use jobs::{ClaimRecord, Claims, JobTable, KeyHash, Outcome, Owner, TableLimits, TaskAnswer};
 use jobs::{WindowState, Windows};
 use kernel::{JobKey, Offset, Timestamp};
-use platform::{Chunk, Record};
+use logstore::{Chunk, Record};
 
 use crate::SlopeError;
 use crate::figure::{Figure, Series};
--- a/components/slopes/src/minions.rs
+++ b/components/slopes/src/minions.rs
@@ -3,7 +3,7 @@
 use std::hint::black_box;
 
 use kernel::{Cores, Timestamp};
-use platform::Listing;
+use logstore::Listing;
 use routing::{Balanced, Fleet, RoutingConfig};
 
 use crate::SlopeError;
--- a/components/slopes/src/named.rs
+++ b/components/slopes/src/named.rs
@@ -5,8 +5,8 @@
 use std::str::FromStr;
 
 use kernel::{Cores, Domain, Incarnation, MinionId, Service, Slots, Team, VmId};
+use logstore::MinionRow;
 use membership::{Generation, ListedVm, Presence, Vm};
-use platform::MinionRow;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rand_xoshiro::rand_core::SeedableRng;
 use routing::MinionInfo;
@@ -95,7 +95,7 @@
         id: minion(&domain(n % domains), n),
         domain: domain(n % domains),
         addr: addr(n),
-        presence: platform::Presence::Live,
+        presence: logstore::Presence::Live,
         services: vec![service()],
         slots: SLOTS,
         cores: CORES,
--- a/components/slopes/src/path.rs
+++ b/components/slopes/src/path.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use entry::KEY_HEADER;
 use kernel::{Cores, Millis};
-use platform::MinionRow;
+use logstore::MinionRow;
 use standins::{Ledger, MinionConfig, MinionStandin};
 
 use crate::SlopeError;
--- a/components/standins/src/minion.rs
+++ b/components/standins/src/minion.rs
@@ -13,7 +13,7 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use kernel::{Cores, Domain, MinionId, Service, Slots};
-use platform::{MinionRow, Presence};
+use logstore::{MinionRow, Presence};
 use serde::{Deserialize, Serialize};
 use wire::{
     INCARNATION_HEADER, JOB_HEADER, SERVICE_HEADER, STARTED_HEADER, TASK_HEADER, TASK_PATH,
--- a/components/standins/src/platform.rs
+++ b/components/standins/src/platform.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use kernel::{HashMap, Offset};
-use platform::{Appended, Chunk, LIST_PATH, Listing, Record, STREAM_PATH, Stream};
+use logstore::{Appended, Chunk, LIST_PATH, Listing, Record, STREAM_PATH, Stream};
 use tokio::sync::watch;
 
 use crate::listener::{HangUp, Listener, Serve, lock};
--- a/components/standins/tests/minion.rs
+++ b/components/standins/tests/minion.rs
@@ -6,7 +6,7 @@
 
 use common::{LONG, SHORT, minion, send, task, tcp, until};
 use hyper::StatusCode;
-use platform::Presence;
+use logstore::Presence;
 use standins::TaskReply;
 use wire::{CallError, STARTED_HEADER};
 
--- a/components/standins/tests/platform.rs
+++ b/components/standins/tests/platform.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use common::{SHORT, minion, tcp, until};
 use kernel::{Millis, Offset};
-use platform::{AppendError, HttpPlatform, MinionRow, Platform, ReadError, Stream};
+use logstore::{AppendError, HttpPlatform, MinionRow, Platform, ReadError, Stream};
 use standins::{PlatformConfig, PlatformStandin, Retention};
 use wire::TcpConnect;
 
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -137,6 +137,14 @@
     pool: Arc<Mutex<Pool>>,
 }
 
+impl<C> fmt::Debug for Client<C> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client")
+            .field("limits", &self.limits)
+            .finish_non_exhaustive()
+    }
+}
+
 impl<C: Connect> Client<C> {
     /// Makes a client with no connections.
     pub fn new(connect: C, limits: PoolLimits) -> Client<C> {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -25,7 +25,7 @@
 #[command(name = "pomelopost", version, after_help = EXIT_CODES)]
 pub struct Serve {
     /// The settings file, see docs/pomelopost.ini.
-    #[arg(long, value_name = "FILE", required_unless_present = "sample")]
+    #[arg(long, value_name = "FILE", required_unless_present_any = ["sample", "platform"])]
     pub settings: Option<PathBuf>,
     /// Only check the settings and tell every fault.
     #[arg(long, requires = "settings")]
@@ -33,6 +33,10 @@
     /// Write a commented sample of all settings.
     #[arg(long, conflicts_with = "settings")]
     pub sample: bool,
+    /// Serve on the users' platform, by the settings file that the variable
+    /// POMELOPOST_NODE_FILE names.
+    #[arg(long, conflicts_with_all = ["settings", "sample"])]
+    pub platform: bool,
 }
 
 /// Operates a pomelopost fleet and runs experiments.
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -28,6 +28,9 @@
 ///
 /// Tells every fault of the settings, or why the VM could not start.
 pub fn run(args: &Serve) -> Result<(), CommandError> {
+    if args.platform {
+        return run_on_platform();
+    }
     let Some(path) = &args.settings else {
         return print(&settings::sample());
     };
@@ -56,6 +59,18 @@
     served
 }
 
+/// Serves on the users' platform. The engine's state is under one lock a shard
+/// and VMs there have one core, so one thread serves best.
+fn run_on_platform() -> Result<(), CommandError> {
+    let path = std::env::var_os(platform::SETTINGS_VARIABLE);
+    let path = path.ok_or(CommandError::Variable(platform::SETTINGS_VARIABLE))?;
+    logs::start(log::LevelFilter::Info)?;
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(CommandError::Io)?;
+    let served = runtime.block_on(platform::serve(Path::new(&path)));
+    served.map_err(CommandError::Platform)
+}
+
 fn read(path: &Path) -> Result<Parts, CommandError> {
     settings::load(path).map_err(CommandError::Settings)
 }
--- a/src/cmd/sheet.rs
+++ b/src/cmd/sheet.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use clap::{Args, Subcommand};
 use kernel::{Clock, Millis, Offset, SystemClock};
-use platform::{AppendError, HttpPlatform, Platform, Stream};
+use logstore::{AppendError, HttpPlatform, Platform, Stream};
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use sheet::{Base, Body, Change, ChangeId, Operator, Sheet, SheetLog, SheetRecord};
--- a/src/error.rs
+++ b/src/error.rs
@@ -40,6 +40,10 @@
 pub enum CommandError {
     /// The settings have faults.
     Settings(Vec<SettingsFault>),
+    /// A variable of the environment is not set.
+    Variable(&'static str),
+    /// The VM can't serve on the platform.
+    Platform(platform::ServeError),
     /// The command line names neither a VM nor the platform.
     NoFleet,
     /// The platform could not tell which VMs there are.
@@ -68,9 +72,9 @@
     /// A record can't be written.
     Json(serde_json::Error),
     /// The log did not take the change.
-    Append(platform::AppendError),
+    Append(logstore::AppendError),
     /// The log can't be read.
-    Read(platform::ReadError),
+    Read(logstore::ReadError),
     /// The change was refused.
     Refused(sheet::Refusal),
     /// The change was not found in the log in time.
@@ -95,6 +99,8 @@
     pub fn code(&self) -> ExitCode {
         match self {
             CommandError::Settings(_)
+            | CommandError::Variable(_)
+            | CommandError::Platform(platform::ServeError::Settings(_))
             | CommandError::NoFleet
             | CommandError::NoPlatform
             | CommandError::Sheet(..)
@@ -112,6 +118,8 @@
                 let lines: Vec<_> = faults.iter().map(SettingsFault::to_string).collect();
                 f.write_str(&lines.join("\n"))
             }
+            CommandError::Variable(name) => write!(f, "{name} is not set"),
+            CommandError::Platform(e) => write!(f, "{e}"),
             CommandError::NoFleet => write!(f, "expected --vm or --platform"),
             CommandError::List(addr, e) => write!(f, "list of VMs at {addr}: {e}"),
             CommandError::Unreachable => write!(f, "no VM could be reached"),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
 use kernel::Millis;
-use platform::{LIST_PATH, Listing};
+use logstore::{LIST_PATH, Listing};
 use serde::de::DeserializeOwned;
 use wire::{Client, PoolLimits, Reply, TcpConnect};
 
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use kernel::{Cores, Millis, Slots};
-use platform::{HttpPlatform, Platform, Stream};
+use logstore::{HttpPlatform, Platform, Stream};
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use serde_json::Value;
