--- a/components/engine/src/peers.rs
+++ b/components/engine/src/peers.rs
@@ -203,6 +203,7 @@
         let Some(owned) = self.0.owned(&call.shard) else {
             return JobReply::NotOwner;
         };
+        self.0.peers().touch(call.from, self.0.now());
         let from = Some(call.from);
         match call.ask {
             Ask::Run(spec) => submit::run_here(&self.0, &owned, spec, from).await,
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -41,6 +41,8 @@
     },
     /// It may have run in part, and its result will not come.
     Lost,
+    /// It ran in part and did not end before the deadline.
+    Expired,
 }
 
 impl From<Outcome> for Answer {
@@ -50,6 +52,7 @@
             Outcome::Failed => Answer::Failed,
             Outcome::Refused { retry } => Answer::Refused { retry },
             Outcome::Lost => Answer::Lost,
+            Outcome::Expired => Answer::Expired,
         }
     }
 }
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -290,6 +290,16 @@
         peer.is_some_and(|p| now.since(p.heard) < silence)
     }
 
+    /// Takes note of a sign of life other than a beat.
+    pub fn touch(&mut self, addr: SocketAddr, now: Timestamp) {
+        if let std::net::IpAddr::V4(ip) = addr.ip() {
+            self.hint(ip, now);
+            if let Some(peer) = self.peers.get_mut(&ip) {
+                peer.heard = now;
+            }
+        }
+    }
+
     /// Returns all addresses where a VM may be.
     pub fn addrs(&self) -> impl Iterator<Item = Ipv4Addr> {
         self.peers.keys().copied()
--- a/components/schedule/src/admission.rs
+++ b/components/schedule/src/admission.rs
@@ -5,7 +5,11 @@
 
 use crate::config::ScheduleConfig;
 use crate::job::JobSpec;
-use crate::order::DOUBT;
+
+/// The part of its expected time that a hopeless job exceeds its caller's wait
+/// with: estimates are off by two fifths, and a job that is refused is lost for
+/// certain.
+const HOPELESS: f64 = 0.45;
 
 /// The hint for a job whose tasks take longer than its caller waits: only
 /// another deadline helps.
@@ -41,7 +45,7 @@
             retry: cfg.eject_time,
         };
     }
-    if load.expected.0 as f64 * DOUBT > spec.patience.0 as f64 {
+    if load.expected.0 as f64 * HOPELESS > spec.patience.0 as f64 {
         return Admission::Refused {
             retry: HOPELESS_RETRY,
         };
--- a/components/schedule/src/job.rs
+++ b/components/schedule/src/job.rs
@@ -84,6 +84,8 @@
     },
     /// Tasks were started, and their results will not come.
     Lost,
+    /// Tasks were started, and did not end before the deadline.
+    Expired,
 }
 
 /// Where a task of a running job stands.
--- a/components/schedule/src/order.rs
+++ b/components/schedule/src/order.rs
@@ -15,7 +15,7 @@
 /// How far estimates may be off: a job counts as late when it would be with so
 /// much of its expected time, as refusing it a start on a wrong estimate would
 /// fail it for certain.
-pub(crate) const DOUBT: f64 = 0.7;
+const DOUBT: f64 = 0.7;
 
 /// A job's place in the queue; the least goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/components/schedule/src/place.rs
+++ b/components/schedule/src/place.rs
@@ -6,14 +6,14 @@
 use crate::minion::Minion;
 use crate::resources::Resources;
 
-/// What a slower minion costs a job with time to spare against a worse fit: a
-/// minion that takes twice the time counts like one whose leftover is a tenth
-/// of its processor.
-const PACE_WEIGHT: f64 = 0.1;
-
-/// What it costs a job without time to spare.
+/// What a minion that takes twice the time costs a job without time to spare,
+/// in parts of a minion's processor left over.
 const TIGHT_WEIGHT: f64 = 2.0;
 
+/// What it gains a job with time to spare, which leaves fast minions to the
+/// others.
+const LOOSE_WEIGHT: f64 = 0.3;
+
 /// The part of its time left that a job needs from which on it counts as tight.
 const TIGHT_FROM: f64 = 0.6;
 
@@ -119,6 +119,6 @@
     let doubt = FAILURE_WEIGHT * f64::from(spot.minion.health.failures);
     let rack = if far { RACK_WEIGHT } else { 0.0 };
     let tight = ((tightness - TIGHT_FROM) / (1.0 - TIGHT_FROM)).clamp(0.0, 1.0);
-    let weight = PACE_WEIGHT + TIGHT_WEIGHT * tight;
+    let weight = TIGHT_WEIGHT * tight - LOOSE_WEIGHT * (1.0 - tight);
     left + weight * spot.minion.health.pace + doubt + rack
 }
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -294,7 +294,7 @@
 
     fn gone(&self, job: &Job) -> Outcome {
         if job.started {
-            return Outcome::Failed;
+            return Outcome::Expired;
         }
         let load = self.queue.iter().filter_map(|id| self.jobs.get(id));
         let work: f64 = load.map(|j| self.waiting_work(j)).sum();
