--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -192,7 +192,7 @@
             }
         }
     }
-    owned.lock().scheduler.abandon();
+    owned.lock().scheduler.abandon(core.now());
     drive::perform(core, &owned);
 }
 
--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -32,7 +32,7 @@
         let mut state = owned.lock();
         let actions = state.scheduler.take_actions();
         for action in &actions {
-            if let Action::Settle(id, outcome) = action {
+            if let Action::Settle(id, outcome, _) = action {
                 settle(&mut state, id, *outcome, core, &mut told);
             }
         }
@@ -50,8 +50,10 @@
             Action::Stop(order) => {
                 tokio::spawn(stop(core.clone(), owned.clone(), order));
             }
-            Action::Settle(id, outcome) => {
-                log::info!(job:% = id, shard:% = owned.shard, outcome:? = outcome; "job ended");
+            Action::Settle(id, outcome, sum) => {
+                log::info!(job:% = id, shard:% = owned.shard, outcome:? = outcome, tasks = sum.tasks,
+                    done = sum.done, failures = sum.failures, expected_ms = sum.expected.0,
+                    took_ms = sum.took.0, waited_ms = sum.waited.0; "job ended");
             }
             Action::Ejected(id, span) => {
                 log::warn!(minion:% = id, span_ms = span.0; "minion fails or lags, left out");
--- a/components/schedule/src/job.rs
+++ b/components/schedule/src/job.rs
@@ -133,6 +133,25 @@
     pub expected: Millis,
     /// True once a task was ordered to start.
     pub started: bool,
+    /// When the latest start was ordered.
+    pub last_start: Timestamp,
+}
+
+/// What is told of a job that has ended, for logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Summary {
+    /// How many tasks it has.
+    pub tasks: usize,
+    /// How many of them are done.
+    pub done: usize,
+    /// How many of their runs failed.
+    pub failures: u32,
+    /// How long it was expected to take.
+    pub expected: Millis,
+    /// How long it was here.
+    pub took: Millis,
+    /// How long after its arrival its latest task was started.
+    pub waited: Millis,
 }
 
 impl Job {
@@ -159,6 +178,7 @@
             objective,
             expected,
             started: false,
+            last_start: now,
             tasks,
             spec,
         }
@@ -195,6 +215,19 @@
             .map(|(i, _)| i)
     }
 
+    /// Sums the job up at its end.
+    pub fn summary(&self, now: Timestamp) -> Summary {
+        let done = self.tasks.iter().filter(|t| t.state == TaskState::Done);
+        Summary {
+            tasks: self.tasks.len(),
+            done: done.count(),
+            failures: self.tasks.iter().map(|t| t.failures).sum(),
+            expected: self.expected,
+            took: now.since(self.arrived),
+            waited: self.last_start.since(self.arrived),
+        }
+    }
+
     /// Tells whether any task waits.
     pub fn waits(&self) -> bool {
         self.tasks.iter().any(|t| t.state == TaskState::Waiting)
--- a/components/schedule/src/lib.rs
+++ b/components/schedule/src/lib.rs
@@ -21,7 +21,7 @@
 pub use admission::Admission;
 pub use config::ScheduleConfig;
 pub use ids::{Fence, JobId, LeaseTime, RunNumber, TaskName, WorkIdError};
-pub use job::{JobSpec, Outcome, Step};
+pub use job::{JobSpec, Outcome, Step, Summary};
 pub use minion::{End, EndKind, HoldOrder, Listing, MinionInfo, StartReply};
 pub use resources::{Gpus, Mebibytes, MilliCores, Resources};
 pub use scheduler::{Action, Load, Scheduler, StartOrder, StopOrder};
--- a/components/schedule/src/place.rs
+++ b/components/schedule/src/place.rs
@@ -8,11 +8,11 @@
 
 /// What a minion that takes twice the time costs a job without time to spare,
 /// in parts of a minion's processor left over.
-const TIGHT_WEIGHT: f64 = 2.0;
+const TIGHT_WEIGHT: f64 = 3.0;
 
 /// What it gains a job with time to spare, which leaves fast minions to the
 /// others.
-const LOOSE_WEIGHT: f64 = 0.3;
+const LOOSE_WEIGHT: f64 = 1.0;
 
 /// The part of its time left that a job needs from which on it counts as tight.
 const TIGHT_FROM: f64 = 0.6;
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -10,7 +10,7 @@
 use crate::admission::{Admission, Backlog, decide};
 use crate::config::ScheduleConfig;
 use crate::ids::{Fence, JobId, LeaseTime, RunNumber, TaskName};
-use crate::job::{Job, JobSpec, Outcome, TaskState};
+use crate::job::{Job, JobSpec, Outcome, Summary, TaskState};
 use crate::minion::{Grip, Minion, MinionInfo};
 use crate::order::{late, rank};
 use crate::place::Rooms;
@@ -70,7 +70,7 @@
     /// Send a stop; report its answer with [`Scheduler::stopped`].
     Stop(StopOrder),
     /// Tell the job's caller how it ended.
-    Settle(JobId, Outcome),
+    Settle(JobId, Outcome, Summary),
     /// A minion gets no work for the given time.
     Ejected(MinionId, Millis),
 }
@@ -244,7 +244,7 @@
 
     /// Ends all jobs, because this VM no longer owns the shard. Nothing is
     /// stopped: the next owner does that.
-    pub fn abandon(&mut self) {
+    pub fn abandon(&mut self, now: Timestamp) {
         for (id, job) in std::mem::take(&mut self.jobs) {
             let outcome = match job.started {
                 true => Outcome::Lost,
@@ -252,7 +252,8 @@
                     retry: self.cfg.lease,
                 },
             };
-            self.actions.push(Action::Settle(id, outcome));
+            let summary = job.summary(now);
+            self.actions.push(Action::Settle(id, outcome, summary));
         }
         self.queue.clear();
         self.minions.clear();
@@ -437,6 +438,7 @@
         task.state = TaskState::Placed;
         task.run = RunNumber(task.run.0 + 1);
         job.started = true;
+        job.last_start = now;
         minion.leased = now;
         minion.runs.push(Run {
             task: task.name.clone(),
@@ -484,16 +486,15 @@
 
     /// Ends a job towards its caller and stops its runs.
     pub(crate) fn settle(&mut self, id: &JobId, outcome: Outcome, now: Timestamp) {
-        if self.close(id, now) {
-            self.actions.push(Action::Settle(id.clone(), outcome));
+        if let Some(summary) = self.close(id, now) {
+            self.actions
+                .push(Action::Settle(id.clone(), outcome, summary));
         }
     }
 
-    /// Forgets a job and stops its runs. Returns false if it is not here.
-    fn close(&mut self, id: &JobId, now: Timestamp) -> bool {
-        let Some(job) = self.jobs.remove(id) else {
-            return false;
-        };
+    /// Forgets a job and stops its runs.
+    fn close(&mut self, id: &JobId, now: Timestamp) -> Option<Summary> {
+        let job = self.jobs.remove(id)?;
         let past = Past {
             last: job.last_run(),
             ended: now,
@@ -508,7 +509,7 @@
         for (minion, task, number) in stops {
             self.stop(&minion, &task, number, now);
         }
-        true
+        Some(job.summary(now))
     }
 
     /// Lets the task of a run that is over without a result wait again.
--- a/components/schedule/tests/at_once.rs
+++ b/components/schedule/tests/at_once.rs
@@ -68,7 +68,8 @@
             world.frozen[old] = false;
             wakes = 0;
             if old != active {
-                world.owners[old].abandon();
+                let time = world.time();
+                world.owners[old].abandon(time);
             }
         }
         if world.chance(0.0002) {
--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -394,7 +394,7 @@
             match action {
                 Action::Start(order) => self.send(Message::Start(owner, order)),
                 Action::Stop(order) => self.send(Message::Stop(owner, order)),
-                Action::Settle(id, outcome) => self.outcomes.push((self.now, id, outcome)),
+                Action::Settle(id, outcome, _) => self.outcomes.push((self.now, id, outcome)),
                 Action::Ejected(..) => {}
             }
         }
