Rebirth and lists under former tokens: model of minions, faults found

Cause: a model of minions under proptest (at_once.rs) showed a second run of a task in four ways: two lists of the same millisecond; a job submitted again while it ran; a start under way while the minion started anew; a list that answers a hold under the former token. Change: a list counts only under the present token; a start under way stays unsure over a rebirth; a submission stops an earlier one of the same id.

--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -5,7 +5,7 @@
 
 use kernel::{HashSet, MinionId};
 use ownership::shard_of;
-use schedule::{Action, Fence, JobId, Outcome, StartOrder, StartReply, StopOrder};
+use schedule::{Action, Fence, Heard, JobId, Outcome, StartOrder, StartReply, StopOrder};
 
 use crate::control::{HoldReply, Minions, StopReply};
 use crate::core::{Core, lock};
@@ -163,8 +163,15 @@
         };
         match core.minions.hold(&id, &order).await {
             HoldReply::Listed(list) => {
-                let taken = owned.lock().scheduler.listed(&id, list, core.now());
-                if taken {
+                let born = list.born;
+                let now = core.now();
+                let heard = owned.lock().scheduler.listed(&id, order.fence, list, now);
+                if heard == Heard::Reborn {
+                    let fence = lock(&core.tokens).mint();
+                    log::info!(minion:% = id, born = born; "minion started anew");
+                    owned.lock().scheduler.retake(&id, born, fence);
+                }
+                if heard == Heard::Taken {
                     log::info!(minion:% = id, fence = order.fence.0, tries = tries; "minion held");
                 }
                 pause = RETRY_PAUSE;
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -282,7 +282,6 @@
         if state.scheduler.knows(&id) {
             // The caller has sent it again, so it has given up the first.
             log::info!(job:% = id; "job sent again while it ran, the first is stopped");
-            state.scheduler.cancel(&id, now);
             let first = state.waiters.remove(&id).and_then(|w| w.tell);
             if let Some(first) = first {
                 // It fails if that caller is gone already.
--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -8,6 +8,19 @@
 use crate::run::{Phase, Run};
 use crate::scheduler::Scheduler;
 
+/// What a list says of the minion itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// It obeys us as before.
+    Held,
+    /// It obeys us now.
+    Taken,
+    /// Its process is a new one, to be taken by [`Scheduler::retake`].
+    Reborn,
+    /// The list is of an earlier life, or nobody here asked for it.
+    Ignored,
+}
+
 /// Holds unanswered in a row after which a minion counts as silent and its
 /// lease is no longer renewed; a single one gets lost now and then.
 const SILENT_MISSES: u32 = 2;
@@ -64,24 +77,32 @@
         }
     }
 
-    /// Takes note of what a minion lists. Returns true if it was not held
-    /// before.
-    pub fn listed(&mut self, id: &MinionId, list: Listing, now: Timestamp) -> bool {
+    /// Takes a minion again whose process is a new one. Its size is unknown
+    /// until the register tells it.
+    pub fn retake(&mut self, id: &MinionId, born: u64, fence: Fence) {
+        self.new_life(id);
+        if let Some(minion) = self.minions.get_mut(id) {
+            minion.info.born = born;
+            minion.info.draining = true;
+            minion.fence = fence;
+        }
+    }
+
+    /// Takes note of what a minion lists in answer to a hold under `fence`. Only
+    /// a list under the present token shows that no earlier order is to come.
+    pub fn listed(&mut self, id: &MinionId, fence: Fence, list: Listing, now: Timestamp) -> Heard {
         if self.frozen {
-            return false;
+            return Heard::Ignored;
         }
         let Some(minion) = self.minions.get_mut(id) else {
-            return false;
+            return Heard::Ignored;
         };
-        if list.born < minion.info.born {
-            return false;
+        if list.born < minion.info.born || fence != minion.fence {
+            return Heard::Ignored;
         }
         if list.born > minion.info.born {
-            self.reborn(id, list.born);
+            return Heard::Reborn;
         }
-        let Some(minion) = self.minions.get_mut(id) else {
-            return false;
-        };
         let newest = minion.clock.is_none_or(|(clock, _)| list.clock >= clock);
         minion.hear_clock(list.clock, now);
         minion.misses = 0;
@@ -115,7 +136,10 @@
             self.requeue(&run);
         }
         self.place(now);
-        taken
+        match taken {
+            true => Heard::Taken,
+            false => Heard::Held,
+        }
     }
 
     /// Takes note of the answer to a start.
@@ -182,18 +206,6 @@
         }
     }
 
-    /// Forgets all that is known of a minion whose process is a new one. Its
-    /// size is unknown until the register tells it.
-    fn reborn(&mut self, id: &MinionId, born: u64) {
-        self.end_all(id);
-        if let Some(minion) = self.minions.get_mut(id) {
-            minion.info.born = born;
-            minion.info.draining = true;
-            minion.seen = 0;
-            minion.clock = None;
-        }
-    }
-
     /// Takes note of how a run ended.
     fn ended(&mut self, id: &MinionId, run: &Run, kind: EndKind, now: Timestamp) {
         let took = now.since(run.sent).0 as f64;
--- a/components/schedule/src/lib.rs
+++ b/components/schedule/src/lib.rs
@@ -19,6 +19,7 @@
 mod transfer;
 
 pub use admission::Admission;
+pub use answers::Heard;
 pub use config::ScheduleConfig;
 pub use ids::{Fence, JobId, LeaseTime, RunNumber, TaskName, WorkIdError};
 pub use job::{JobSpec, Outcome, Step, Summary};
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -246,6 +246,7 @@
         for mut run in std::mem::take(&mut self.runs) {
             if listed(&run) {
                 run.phase = Phase::Running;
+                run.accepted = run.accepted.max(Some(list.clock));
                 kept.push(run);
             } else if run.over_by(list.clock) {
                 gone.push(run);
--- a/components/schedule/src/run.rs
+++ b/components/schedule/src/run.rs
@@ -37,7 +37,7 @@
     pub usual: Millis,
     /// The run time expected here.
     pub expected: Millis,
-    /// The minion's clock when it answered the start.
+    /// The minion's clock when it last showed that it has the run.
     pub accepted: Option<LeaseTime>,
     /// The minion's clock after which it won't carry the start out.
     pub latest: LeaseTime,
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -151,7 +151,12 @@
                 }
                 return false;
             }
-            self.end_all(&info.id);
+            self.new_life(&info.id);
+            if let Some(minion) = self.minions.get_mut(&info.id) {
+                minion.info = info;
+                minion.fence = fence;
+            }
+            return true;
         }
         let minion = Minion::new(info, fence);
         self.minions.insert(minion.info.id.clone(), minion);
@@ -205,8 +210,10 @@
         load
     }
 
-    /// Takes or refuses a job that has arrived.
+    /// Takes or refuses a job that has arrived. One of the same id that is here
+    /// is stopped first: its caller has given it up.
     pub fn submit(&mut self, now: Timestamp, spec: JobSpec) -> Admission {
+        self.close(&spec.id, now);
         let expected = self.expected(&spec);
         let last = self.past.get(&spec.id).map_or(RunNumber(0), |p| p.last);
         let job = Job::new(spec, last, now, expected);
@@ -530,14 +537,27 @@
         }
     }
 
-    /// Takes all runs off a minion whose process is gone.
-    pub(crate) fn end_all(&mut self, id: &MinionId) {
-        let runs = self
-            .minions
-            .get_mut(id)
-            .map(|m| std::mem::take(&mut m.runs));
-        for run in runs.into_iter().flatten() {
-            self.requeue(&run);
+    /// Forgets what is known of a minion whose process is gone, with its runs.
+    /// A start on its way may still reach the new process; the first list under
+    /// the new token settles that.
+    pub(crate) fn new_life(&mut self, id: &MinionId) {
+        let Some(minion) = self.minions.get_mut(id) else {
+            return;
+        };
+        let mut fresh = Minion::new(minion.info.clone(), minion.fence);
+        fresh.leased = minion.leased;
+        let runs = std::mem::take(&mut minion.runs);
+        let (gone, sent) = runs.into_iter().partition(|r| r.phase == Phase::Running);
+        fresh.runs = sent;
+        for run in &mut fresh.runs {
+            run.phase = Phase::Unsure;
+            run.latest = LeaseTime(0);
+            run.stopped = None;
+        }
+        *minion = fresh;
+        let gone: Vec<Run> = gone;
+        for run in &gone {
+            self.requeue(run);
         }
     }
 
--- /dev/null
+++ b/components/schedule/tests/resent.rs
@@ -0,0 +1,43 @@
+//! A job that its client sends again.
+
+mod common;
+
+use common::{World, job};
+use schedule::Outcome;
+
+#[test]
+fn first_stopped() {
+    let mut world = World::new(3, 1, &[32, 32]);
+    world.run(20);
+    world.submit(0, job(1, 2, 14, 400), 400);
+    world.run(50);
+    // The second submission must not run beside the first.
+    world.submit(0, job(1, 2, 14, 400), 400);
+    world.run(1_400);
+    assert_eq!(world.broken, Vec::<String>::new());
+    let ended: Vec<_> = world.outcomes.iter().map(|(_, _, o)| *o).collect();
+    assert_eq!(ended, [Outcome::Completed]);
+}
+
+#[test]
+fn other_owner() {
+    let mut world = World::new(4, 2, &[32, 32]);
+    world.run(20);
+    world.submit(0, job(1, 2, 14, 900), 900);
+    world.run(50);
+    // The first owner falls asleep, and the client turns to another VM.
+    world.frozen[0] = true;
+    world.own(1);
+    world.run(1_300);
+    world.submit(1, job(1, 2, 14, 900), 900);
+    world.run(500);
+    world.frozen[0] = false;
+    world.run(1_500);
+    assert_eq!(world.broken, Vec::<String>::new());
+    let last = world.outcomes.iter().map(|(_, _, o)| *o);
+    assert!(
+        last.clone().any(|o| o == Outcome::Completed),
+        "{:?}",
+        last.collect::<Vec<_>>()
+    );
+}
