--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -76,8 +76,18 @@
     }
 }
 
+/// How often a start is sent. A minion that has the run already says so, and
+/// one that carries the first order out late is past its lease time.
+const START_TRIES: u32 = 4;
+
 async fn start<M: Minions>(core: Arc<Core<M>>, owned: Arc<Owned>, order: StartOrder) {
-    let reply = core.minions.start(&order).await;
+    let mut reply = core.minions.start(&order).await;
+    for _ in 1..START_TRIES {
+        if reply != StartReply::NoAnswer {
+            break;
+        }
+        reply = core.minions.start(&order).await.after(reply);
+    }
     if !matches!(reply, StartReply::Accepted(_)) {
         log::warn!(task:% = order.task, run = order.run.0, minion:% = order.minion, reply:? = reply;
             "start not taken");
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -45,6 +45,17 @@
     Expired,
 }
 
+impl Answer {
+    /// Returns what is true of a job that was run again after `earlier`: that
+    /// nothing of it has run holds only if it held before.
+    pub fn after(self, earlier: Option<Answer>) -> Answer {
+        match (earlier, self) {
+            (Some(Answer::Lost), Answer::Refused { .. }) => Answer::Lost,
+            (_, answer) => answer,
+        }
+    }
+}
+
 impl From<Outcome> for Answer {
     fn from(outcome: Outcome) -> Answer {
         match outcome {
@@ -104,8 +115,31 @@
     }
 }
 
-/// Runs a job for a caller of this VM.
+/// How long after its owner was lost a job is run again: by then the owner has
+/// cancelled the jobs of a VM that it does not hear, or the leases of what it
+/// started have lapsed.
+const RERUN_WAIT: Millis = Millis(1_200);
+
+/// Runs a job for a caller of this VM, again if its owner is lost on the way.
 pub(crate) async fn submit<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Answer {
+    let start = core.now();
+    let mut answer = None;
+    loop {
+        let left = remaining(&spec, start, core.now());
+        let latest = attempt(core, left).await.after(answer);
+        let left = remaining(&spec, start, core.now());
+        let again = RERUN_WAIT.0 + spec.critical_path().0;
+        if latest != Answer::Lost || left.patience.0 < again {
+            return latest;
+        }
+        answer = Some(latest);
+        tokio::time::sleep(RERUN_WAIT.duration()).await;
+        log::info!(job:% = spec.id, left_ms = left.patience.0; "job run again");
+    }
+}
+
+/// Runs a job once.
+async fn attempt<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Answer {
     let start = core.now();
     let mut refused = Answer::Refused {
         retry: NO_OWNER_RETRY,
--- /dev/null
+++ b/components/ownership/tests/takeover.rs
@@ -0,0 +1,169 @@
+//! Who takes a shard, and when.
+
+use std::net::SocketAddr;
+
+use kernel::{Incarnation, Timestamp};
+use ownership::{Beat, Change, Claim, Epoch, OwnershipConfig, Peers, Report, Shard, VmInfo};
+use schedule::Load;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(ms * 1_000)
+}
+
+fn vm(addr: &str, domain: &str, share: u32) -> VmInfo {
+    let id = "0123456789abcdef0123456789abcdef";
+    VmInfo {
+        addr: addr.parse::<SocketAddr>().unwrap(),
+        domain: domain.parse().unwrap(),
+        share,
+        incarnation: id.parse::<Incarnation>().unwrap(),
+        leaving: false,
+    }
+}
+
+fn shard() -> Shard {
+    Shard {
+        domain: "suva-a".parse().unwrap(),
+        index: 0,
+    }
+}
+
+fn beat(from: VmInfo, claim: Option<Claim>) -> Beat {
+    let report = |claim| Report {
+        shard: shard(),
+        claim,
+        load: Load::default(),
+    };
+    Beat {
+        from,
+        version: 1,
+        reports: claim.map(report).into_iter().collect(),
+        known: Vec::new(),
+    }
+}
+
+fn claim(from: &VmInfo, epoch: u64) -> Claim {
+    Claim {
+        home: from.domain.as_str() == "suva-a",
+        epoch: Epoch(epoch),
+        addr: from.addr,
+    }
+}
+
+fn taken(changes: &[Change]) -> bool {
+    changes.iter().any(|c| matches!(c, Change::Taken(..)))
+}
+
+/// Returns when a VM that hears `others` until time 0 takes the shard, looking
+/// every 10 ms.
+fn takes(me: VmInfo, others: &[VmInfo]) -> Option<u64> {
+    let mut peers = Peers::new(OwnershipConfig::default(), me, at(0));
+    for other in others {
+        peers.hear(beat(other.clone(), None), at(0));
+    }
+    let times = (0..3_000).step_by(10);
+    times
+        .into_iter()
+        .find(|ms| taken(&peers.tick(&[shard()], at(*ms))))
+}
+
+#[test]
+fn listens_first() {
+    let ms = takes(vm("10.0.0.1:1", "suva-a", 250), &[]).unwrap();
+    assert!(ms >= OwnershipConfig::default().listen.0, "{ms}");
+}
+
+#[test]
+fn largest_first() {
+    let (small, large) = (
+        vm("10.0.0.1:1", "suva-a", 120),
+        vm("10.0.0.2:1", "suva-a", 500),
+    );
+    let first = takes(large.clone(), std::slice::from_ref(&small)).unwrap();
+    let second = takes(small, &[large]).unwrap();
+    assert!(first < second, "{first} {second}");
+}
+
+#[test]
+fn own_domain() {
+    let (home, away) = (
+        vm("10.0.0.1:1", "suva-a", 120),
+        vm("10.0.0.2:1", "nadi-b", 500),
+    );
+    let first = takes(home.clone(), std::slice::from_ref(&away)).unwrap();
+    // The other domain's VM waits until the shard's own is no longer alive.
+    let second = takes(away, &[home]).unwrap();
+    assert!(
+        second > OwnershipConfig::default().idle_silence.0,
+        "{second}"
+    );
+    assert!(first < second);
+}
+
+#[test]
+fn silent_owner() {
+    let (me, owner) = (
+        vm("10.0.0.1:1", "suva-a", 250),
+        vm("10.0.0.2:1", "suva-a", 250),
+    );
+    let mut peers = Peers::new(OwnershipConfig::default(), me, at(0));
+    let alive = beat(owner.clone(), Some(claim(&owner, 3)));
+    for ms in (0..2_000).step_by(100) {
+        peers.hear(alive.clone(), at(ms));
+        assert!(!taken(&peers.tick(&[shard()], at(ms))));
+    }
+    let mut changes = Vec::new();
+    for ms in (2_000..3_000).step_by(25) {
+        changes.extend(peers.tick(&[shard()], at(ms)));
+    }
+    let lost = Change::Lost(shard(), owner.addr);
+    assert!(changes.contains(&lost));
+    assert!(changes.contains(&Change::Taken(shard(), Epoch(4))));
+}
+
+#[test]
+fn later_claim() {
+    let (me, other) = (
+        vm("10.0.0.9:1", "suva-a", 250),
+        vm("10.0.0.2:1", "suva-a", 250),
+    );
+    let mut peers = Peers::new(OwnershipConfig::default(), me, at(0));
+    peers.accept(&shard());
+    // An equal claim of a lower address loses, a later one wins.
+    let equal = beat(other.clone(), Some(claim(&other, 1)));
+    assert!(peers.hear(equal, at(10)).is_empty());
+    let later = beat(other.clone(), Some(claim(&other, 2)));
+    let changes = peers.hear(later, at(20));
+    assert_eq!(changes, [Change::Yielded(shard(), other.addr)]);
+    assert!(!peers.owns(&shard()));
+}
+
+#[test]
+fn home_claim() {
+    let (me, other) = (
+        vm("10.0.0.9:1", "nadi-b", 250),
+        vm("10.0.0.2:1", "suva-a", 250),
+    );
+    let mut peers = Peers::new(OwnershipConfig::default(), me, at(0));
+    for _ in 0..5 {
+        peers.accept(&shard());
+    }
+    let home = beat(other.clone(), Some(claim(&other, 1)));
+    let changes = peers.hear(home, at(20));
+    assert_eq!(changes, [Change::Yielded(shard(), other.addr)]);
+}
+
+#[test]
+fn successor_alive() {
+    let me = vm("10.0.0.1:1", "suva-a", 250);
+    let mut gone = vm("10.0.0.2:1", "suva-a", 500);
+    gone.leaving = true;
+    let small = vm("10.0.0.3:1", "suva-a", 120);
+    let away = vm("10.0.0.4:1", "nadi-b", 500);
+    let mut peers = Peers::new(OwnershipConfig::default(), me, at(0));
+    for other in [&gone, &small, &away] {
+        peers.hear(beat(other.clone(), None), at(0));
+    }
+    let next = peers.successor(&shard(), at(10)).map(|vm| vm.addr);
+    assert_eq!(next, Some(small.addr));
+}
--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -105,6 +105,9 @@
         }
         let newest = minion.clock.is_none_or(|(clock, _)| list.clock >= clock);
         minion.hear_clock(list.clock, now);
+        if newest {
+            minion.listed = now;
+        }
         minion.misses = 0;
         minion.full = false;
         let taken = minion.grip != Grip::Held;
--- a/components/schedule/src/config.rs
+++ b/components/schedule/src/config.rs
@@ -43,7 +43,7 @@
     fn default() -> ScheduleConfig {
         ScheduleConfig {
             lease: Millis(800),
-            hold_wait: Millis(250),
+            hold_wait: Millis(200),
             stop_retry: Millis(80),
             hang_factor: 3.0,
             hang_slack: Millis(200),
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -99,6 +99,19 @@
     NoAnswer,
 }
 
+impl StartReply {
+    /// Returns what is known of a start that was sent again because `earlier`
+    /// got no answer: only that the run is there. Whatever else the second got,
+    /// the first may have been carried out.
+    pub fn after(self, earlier: StartReply) -> StartReply {
+        match (earlier, self) {
+            (StartReply::NoAnswer, StartReply::Accepted(clock)) => StartReply::Accepted(clock),
+            (StartReply::NoAnswer, _) => StartReply::NoAnswer,
+            (_, reply) => reply,
+        }
+    }
+}
+
 /// A hold to send: it renews the lease and asks what runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HoldOrder {
@@ -145,6 +158,8 @@
     /// True while it refused a start for want of room that we thought there
     /// was, until its next list.
     pub full: bool,
+    /// When its newest list came.
+    pub listed: Timestamp,
     /// Holds unanswered in a row.
     pub misses: u32,
     /// When an order that renews the lease was last sent.
@@ -170,6 +185,7 @@
             runs: Vec::new(),
             health: Health::default(),
             full: false,
+            listed: Timestamp(0),
             misses: 0,
             leased: Timestamp(0),
         }
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -327,7 +327,10 @@
                     continue;
                 }
                 let limit = run.expected.0 as f64 * cfg.hang_factor + cfg.hang_slack.0 as f64;
-                let hangs = run.of.is_some() && now.since(run.sent).0 as f64 > limit;
+                // Its end may wait on a hold whose answer got lost, so only a
+                // list that still has the run shows that it hangs.
+                let shown = minion.listed.since(run.sent);
+                let hangs = run.of.is_some() && shown.0 as f64 > limit;
                 if hangs && run.stopping.is_none() {
                     run.hung = true;
                     minion.health.failed();
--- a/components/schedule/tests/resent.rs
+++ b/components/schedule/tests/resent.rs
@@ -31,7 +31,10 @@
     world.run(1_300);
     world.submit(1, job(1, 2, 14, 900), 900);
     world.run(500);
+    // It hears at once that the other one owns the minions.
     world.frozen[0] = false;
+    let time = world.time();
+    world.owners[0].abandon(time);
     world.run(1_500);
     assert_eq!(world.broken, Vec::<String>::new());
     let last = world.outcomes.iter().map(|(_, _, o)| *o);
