--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -1,6 +1,6 @@
 //! Beats between VMs, and what follows from them.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -12,7 +12,7 @@
 use crate::core::{Core, lock};
 use crate::drive;
 use crate::owned::{Ending, Owned};
-use crate::peers::call_configuration;
+use crate::peers::{call_configuration, call_register};
 
 /// The largest beat in bytes, within one Ethernet frame's worth of fragments.
 const BEAT_SIZE: usize = 8 << 10;
@@ -43,8 +43,21 @@
                 continue;
             }
         };
+        let new = core.peers().is_new(&beat.from);
+        let from = beat.from.addr;
         let changes = core.peers().hear(beat, core.now());
         apply(&core, changes);
+        if new && from != core.cfg.peers {
+            answer(&core, from).await;
+        }
+    }
+}
+
+/// Beats back to a VM that is new, so that it needs not wait for its turn.
+async fn answer<M>(core: &Core<M>, to: SocketAddr) {
+    if let IpAddr::V4(ip) = to.ip() {
+        let beat = own_beat(core, false, core.now());
+        send_to(core, &beat, &[ip]).await;
     }
 }
 
@@ -72,6 +85,7 @@
         if all {
             idle = now;
             pull_configuration(&core, now);
+            pull_register(&core, now);
         }
         send(&core, all, now).await;
     }
@@ -196,31 +210,35 @@
     drive::perform(core, &owned);
 }
 
+/// Returns this VM's beat.
+fn own_beat<M>(core: &Core<M>, all: bool, now: Timestamp) -> Beat {
+    let peers = core.peers();
+    let reports = peers.mine();
+    let reports = reports.map(|(shard, claim)| report(core, shard, *claim, now));
+    let known = match all {
+        true => peers.addrs().take(KNOWN_MOST).collect(),
+        false => Vec::new(),
+    };
+    Beat {
+        from: peers.me().clone(),
+        version: core.version(),
+        reports: reports.collect(),
+        known,
+    }
+}
+
 /// Sends this VM's beat to all others, or only to those that need it often.
 async fn send<M>(core: &Core<M>, all: bool, now: Timestamp) {
-    let (beat, targets) = {
-        let peers = core.peers();
-        let reports: Vec<_> = peers
-            .mine()
-            .map(|(shard, claim)| report(core, shard, *claim, now))
-            .collect();
-        let known: Vec<_> = match all {
-            true => peers.addrs().take(KNOWN_MOST).collect(),
-            false => Vec::new(),
-        };
-        let targets = match all || !reports.is_empty() {
-            true => peers.addrs().collect(),
-            false => busy(core),
-        };
-        let beat = Beat {
-            from: peers.me().clone(),
-            version: core.version(),
-            reports,
-            known,
-        };
-        (beat, targets)
+    let beat = own_beat(core, all, now);
+    let targets: Vec<_> = match all || !beat.reports.is_empty() {
+        true => core.peers().addrs().collect(),
+        false => busy(core),
     };
-    let bytes = match encode(&beat) {
+    send_to(core, &beat, &targets).await;
+}
+
+async fn send_to<M>(core: &Core<M>, beat: &Beat, targets: &[Ipv4Addr]) {
+    let bytes = match encode(beat) {
         Ok(bytes) => bytes,
         Err(e) => {
             log::error!(error:% = e; "beat can't be written");
@@ -228,7 +246,7 @@
         }
     };
     for addr in targets {
-        let to = SocketAddr::from((addr, core.cfg.beats));
+        let to = SocketAddr::from((*addr, core.cfg.beats));
         if let Err(e) = core.socket.send_to(&bytes, to).await {
             log::debug!(to:% = to, error:% = e; "beat not sent");
         }
@@ -239,8 +257,8 @@
 fn busy<M>(core: &Core<M>) -> Vec<Ipv4Addr> {
     let away = lock(&core.away);
     let ips = away.keys().filter_map(|addr| match addr.ip() {
-        std::net::IpAddr::V4(ip) => Some(ip),
-        std::net::IpAddr::V6(_) => None,
+        IpAddr::V4(ip) => Some(ip),
+        IpAddr::V6(_) => None,
     });
     ips.collect()
 }
@@ -272,6 +290,27 @@
     });
 }
 
+/// Asks another VM for the register while the store has not told it.
+fn pull_register<M: Minions>(core: &Arc<Core<M>>, now: Timestamp) {
+    if core.register.load().is_some() {
+        return;
+    }
+    let Some(from) = core.peers().any(now) else {
+        return;
+    };
+    let core = core.clone();
+    tokio::spawn(async move {
+        match call_register(&core, from).await {
+            Ok(Some(minions)) => {
+                log::info!(from:% = from, minions = minions.len(); "register read from a VM");
+                crate::engine::register_first(&core, minions);
+            }
+            Ok(None) => {}
+            Err(e) => log::info!(from:% = from, error:% = e; "register not read from a VM"),
+        }
+    });
+}
+
 /// Tells all VMs at once that this one leaves or owns something else.
 pub(crate) async fn announce<M>(core: &Core<M>) {
     send(core, true, core.now()).await;
--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -5,7 +5,9 @@
 
 use kernel::{HashSet, MinionId};
 use ownership::shard_of;
-use schedule::{Action, Fence, Heard, JobId, Outcome, StartOrder, StartReply, StopOrder};
+use schedule::{
+    Action, Fence, Heard, JobId, MinionInfo, Outcome, Scheduler, StartOrder, StartReply, StopOrder,
+};
 
 use crate::control::{HoldReply, Minions, StopReply};
 use crate::core::{Core, lock};
@@ -128,39 +130,45 @@
 /// the new ones.
 pub(crate) fn sync_register<M: Minions>(core: &Arc<Core<M>>, owned: &Arc<Owned>) {
     let register = core.register.load_full();
-    let Some(register) = register else {
-        return;
-    };
-    let shards = core.cfg.shards;
-    let ours = register
-        .iter()
-        .filter(|m| m.domain == owned.shard.domain)
-        .filter(|m| shard_of(&m.domain, &m.id, shards) == owned.shard);
-    let mut fresh = Vec::new();
-    {
+    let fresh: Vec<_> = {
         let mut state = owned.lock();
         if !state.live {
             return;
         }
-        let mut listed: HashSet<MinionId> = HashSet::default();
-        for info in ours {
-            listed.insert(info.id.clone());
-            let fence = lock(&core.tokens).mint();
-            state.scheduler.register(info.clone(), fence);
+        // Without a register there are only the minions handed over.
+        if let Some(register) = register {
+            update(core, owned, &mut state.scheduler, &register);
         }
-        for id in state.scheduler.minion_ids() {
-            if !listed.contains(&id) {
-                state.scheduler.withdraw(&id);
-            } else if state.driven.insert(id.clone()) {
-                fresh.push(id);
-            }
-        }
-    }
+        let ids = state.scheduler.minion_ids();
+        let driven = &mut state.driven;
+        ids.into_iter()
+            .filter(|id| driven.insert(id.clone()))
+            .collect()
+    };
     for id in fresh {
         tokio::spawn(drive(core.clone(), owned.clone(), id));
     }
 }
 
+fn update<M>(core: &Core<M>, owned: &Owned, scheduler: &mut Scheduler, register: &[MinionInfo]) {
+    let shards = core.cfg.shards;
+    let ours = register
+        .iter()
+        .filter(|m| m.domain == owned.shard.domain)
+        .filter(|m| shard_of(&m.domain, &m.id, shards) == owned.shard);
+    let mut listed: HashSet<MinionId> = HashSet::default();
+    for info in ours {
+        listed.insert(info.id.clone());
+        let fence = lock(&core.tokens).mint();
+        scheduler.register(info.clone(), fence);
+    }
+    for id in scheduler.minion_ids() {
+        if !listed.contains(&id) {
+            scheduler.withdraw(&id);
+        }
+    }
+}
+
 /// Holds a minion for as long as it is in the shard.
 async fn drive<M: Minions>(core: Arc<Core<M>>, owned: Arc<Owned>, id: MinionId) {
     let mut pause = RETRY_PAUSE;
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -125,9 +125,7 @@
     /// Takes note of all registered minions.
     pub fn register(&self, minions: Vec<MinionInfo>) {
         self.core.register.store(Some(Arc::new(minions)));
-        for owned in self.core.owned.load().values() {
-            drive::sync_register(&self.core, owned);
-        }
+        sync(&self.core);
     }
 
     /// Takes note of an address where another VM may be.
@@ -167,7 +165,8 @@
         self.core.owned.load().keys().cloned().collect()
     }
 
-    /// Hands this VM's shards over. It goes on answering its callers.
+    /// Hands this VM's shards over and waits until callers have gone elsewhere.
+    /// Until the program ends it goes on answering those that come.
     pub async fn leave(&self) {
         if self.core.stopping.swap(true, Ordering::Relaxed) {
             return;
@@ -176,6 +175,23 @@
     }
 }
 
+/// Takes note of another VM's register, unless the store has told its own.
+pub(crate) fn register_first<M: Minions>(core: &Arc<Core<M>>, minions: Vec<MinionInfo>) {
+    let fresh = Arc::new(minions);
+    let held = core
+        .register
+        .compare_and_swap(&None::<Arc<Vec<MinionInfo>>>, Some(fresh));
+    if held.is_none() {
+        sync(core);
+    }
+}
+
+fn sync<M: Minions>(core: &Arc<Core<M>>) {
+    for owned in core.owned.load().values() {
+        drive::sync_register(core, owned);
+    }
+}
+
 /// Puts a configuration in force unless a later one is.
 pub(crate) fn configure<M>(core: &Core<M>, configuration: Configuration) {
     let version = configuration.version;
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -1,7 +1,10 @@
 //! A planned stop: shards go to other VMs with their jobs and runs.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use kernel::Millis;
 use ownership::Shard;
 
 use crate::beats;
@@ -11,26 +14,41 @@
 use crate::owned::Waiter;
 use crate::peers::{Handover, call_handover};
 
-/// Hands over every shard of this VM.
+/// The pause before a shard is offered again that no VM could take.
+const OFFER_PAUSE: Duration = Duration::from_millis(100);
+
+/// Hands over every shard of this VM. Where the domain has no other VM now, one
+/// may come back while this one lingers; at the end any domain's will do.
 pub(crate) async fn leave<M: Minions>(core: &Arc<Core<M>>) {
     core.peers().leave();
-    let shards: Vec<_> = core.owned.load().keys().cloned().collect();
-    for shard in shards {
-        hand_over(core, &shard).await;
+    let until = core.now().after(core.cfg.linger);
+    loop {
+        let last = core.now().after(Millis(OFFER_PAUSE.as_millis() as u64)) >= until;
+        let shards: Vec<_> = core.owned.load().keys().cloned().collect();
+        for shard in &shards {
+            let to = core.peers().successor(shard, last, core.now());
+            if let Some(to) = to {
+                hand_over(core, shard, to.addr).await;
+            }
+        }
+        if core.owned.load().is_empty() || last {
+            break;
+        }
+        tokio::time::sleep(OFFER_PAUSE).await;
+    }
+    for shard in core.owned.load().keys() {
+        log::warn!(shard:% = shard; "no VM to hand the shard to");
     }
     beats::announce(core).await;
+    let left = until.since(core.now());
+    tokio::time::sleep(left.duration()).await;
 }
 
-async fn hand_over<M: Minions>(core: &Arc<Core<M>>, shard: &Shard) {
+async fn hand_over<M: Minions>(core: &Arc<Core<M>>, shard: &Shard, to: SocketAddr) {
     let Some(owned) = core.owned(shard) else {
         return;
     };
     let now = core.now();
-    let Some(to) = core.peers().successor(shard, now).map(|vm| vm.addr) else {
-        // Nobody is left in the domain; serve on until the end.
-        log::warn!(shard:% = shard; "no VM to hand the shard to");
-        return;
-    };
     let handover = {
         let mut state = owned.lock();
         // From here on nothing new is started.
--- a/components/engine/src/peers.rs
+++ b/components/engine/src/peers.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use ownership::Shard;
-use schedule::{JobId, JobSpec, Outcome, Transfer};
+use schedule::{JobId, JobSpec, MinionInfo, Outcome, Transfer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wire::{CallError, CodecError, Handler, decode, encode, read_body};
@@ -28,6 +28,9 @@
 /// Where the configuration is read.
 const CONFIGURATION: &str = "/v1/configuration";
 
+/// Where the register of minions is read.
+const REGISTER: &str = "/v1/register";
+
 /// The longest message between VMs in bytes: a shard with its jobs.
 const MESSAGE_SIZE: usize = 16 << 20;
 
@@ -157,6 +160,14 @@
     ask(core, to, CONFIGURATION, &(), MESSAGE_WAIT).await
 }
 
+/// Reads another VM's register of minions.
+pub(crate) async fn call_register<M>(
+    core: &Core<M>,
+    to: SocketAddr,
+) -> Result<Option<Vec<MinionInfo>>, AskError> {
+    ask(core, to, REGISTER, &(), MESSAGE_WAIT).await
+}
+
 /// Answers other VMs.
 #[derive(Debug)]
 pub(crate) struct PeerHandler<M>(pub Arc<Core<M>>);
@@ -193,6 +204,10 @@
                 let held = self.0.configuration.load_full();
                 reply(&held.as_deref().cloned())
             }
+            REGISTER => {
+                let held = self.0.register.load_full();
+                reply(&held.as_deref().cloned())
+            }
             _ => plain(StatusCode::NOT_FOUND),
         }
     }
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -95,6 +95,20 @@
         });
     }
 
+    /// Tells whether a VM is new to this one, and should hear from it at once.
+    pub fn is_new(&self, from: &VmInfo) -> bool {
+        let std::net::IpAddr::V4(ip) = from.addr.ip() else {
+            return false;
+        };
+        let known = self.peers.get(&ip).and_then(|p| p.info.as_ref());
+        known.is_none_or(|info| info.incarnation != from.incarnation)
+    }
+
+    /// Returns a VM that was heard of lately.
+    pub fn any(&self, now: Timestamp) -> Option<SocketAddr> {
+        self.alive(now).map(|vm| vm.addr).min()
+    }
+
     /// Takes note of a beat.
     pub fn hear(&mut self, beat: Beat, now: Timestamp) -> Vec<Change> {
         let std::net::IpAddr::V4(ip) = beat.from.addr.ip() else {
@@ -263,11 +277,13 @@
         }
     }
 
-    /// Returns the VM that should take over a shard of this one.
-    pub fn successor(&self, shard: &Shard, now: Timestamp) -> Option<VmInfo> {
+    /// Returns the VM that should take over a shard of this one, from another
+    /// domain only if `anywhere`.
+    pub fn successor(&self, shard: &Shard, anywhere: bool, now: Timestamp) -> Option<VmInfo> {
         let fit = self.alive(now).filter(|vm| !vm.leaving);
-        let fit = fit.filter(|vm| vm.domain == shard.domain);
-        fit.max_by_key(|vm| (vm.share, vm.addr)).cloned()
+        let fit = fit.filter(|vm| anywhere || vm.domain == shard.domain);
+        fit.max_by_key(|vm| (vm.domain == shard.domain, vm.share, vm.addr))
+            .cloned()
     }
 
     /// Returns the VMs heard of lately.
--- a/components/ownership/tests/takeover.rs
+++ b/components/ownership/tests/takeover.rs
@@ -164,6 +164,11 @@
     for other in [&gone, &small, &away] {
         peers.hear(beat(other.clone(), None), at(0));
     }
-    let next = peers.successor(&shard(), at(10)).map(|vm| vm.addr);
-    assert_eq!(next, Some(small.addr));
+    let next = |anywhere| {
+        peers
+            .successor(&shard(), anywhere, at(10))
+            .map(|vm| vm.addr)
+    };
+    assert_eq!(next(false), Some(small.addr));
+    assert_eq!(next(true), Some(small.addr));
 }
