Engine tests on model minions; a handover's beat may come before its answer

Cause: with engines on loopback and model minions (engine/tests/common) a planned stop restarted every running task: the successor's beat reached the old owner before the handover's answer, and the jobs were given up as lost. Change: a shard that is being handed over is not given up on a beat; a new owner counts on from the run numbers it finds; a VM is ready only when it knows an owner; a task that no minion can hold is refused at once.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -150,7 +150,12 @@
             }
             Change::Yielded(shard, to) => {
                 log::warn!(shard:% = shard, owner:% = to; "shard yielded to another VM");
-                give_up(core, &shard, None);
+                // The beat of a VM that accepts a handover may come before its
+                // answer, which ends the handover.
+                let handing = core.owned(&shard).is_some_and(|o| !o.lock().live);
+                if !handing {
+                    give_up(core, &shard, None);
+                }
             }
             Change::Owner(shard, addr) => {
                 log::info!(shard:% = shard, owner:% = addr; "shard has an owner");
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -138,10 +138,15 @@
         submit(&self.core, spec).await
     }
 
-    /// Tells whether this VM should get callers: it has a configuration and is
-    /// not stopping.
+    /// Tells whether this VM should get callers: it has a configuration, knows an
+    /// owner of minions, and is not stopping.
     pub fn ready(&self) -> bool {
-        !self.stopping() && self.core.configuration.load().is_some()
+        !self.stopping() && self.core.configuration.load().is_some() && self.knows_owner()
+    }
+
+    /// Tells whether any shard has an owner that this VM knows.
+    fn knows_owner(&self) -> bool {
+        self.owns() || self.core.peers().owners().next().is_some()
     }
 
     /// Tells whether the VM stops.
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -80,6 +80,11 @@
         }
         Err(e) => {
             log::warn!(shard:% = shard, owner:% = to, error:% = e; "handover failed, served on");
+            if !core.peers().owns(shard) {
+                // Another VM has taken it meanwhile.
+                beats::give_up(core, shard, None);
+                return;
+            }
             {
                 let mut state = owned.lock();
                 state.live = true;
--- /dev/null
+++ b/components/engine/tests/planned_stop.rs
@@ -0,0 +1,60 @@
+//! A VM that stops hands its shard over with the jobs and runs.
+
+mod common;
+
+use common::{Site, config, eventually, free_port, job, vm};
+use engine::{Answer, Engine};
+
+#[tokio::test]
+async fn running_job() {
+    let site = Site::new(&[32, 32]);
+    let port = free_port();
+    let a = vm(1, port, &site).await;
+    let b = vm(2, port, &site).await;
+    eventually("one owner", || a.owns() != b.owns()).await;
+    let (old, new) = if a.owns() { (a, b) } else { (b, a) };
+    let calls: Vec<_> = [&old, &new]
+        .into_iter()
+        .enumerate()
+        .map(|(i, vm)| {
+            let vm = vm.clone();
+            tokio::spawn(async move { vm.submit(job(i as u64, 2, 600)).await })
+        })
+        .collect();
+    eventually("tasks run", || site.running() == 4).await;
+    old.leave().await;
+    assert!(new.owns() && !old.owns());
+    for call in calls {
+        assert_eq!(call.await.unwrap(), Answer::Completed);
+    }
+    // Nothing was started a second time.
+    assert_eq!(site.starts(), 4);
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn late_successor() {
+    // The other VM comes up only while this one is leaving, and without a
+    // register of its own.
+    let site = Site::new(&[32]);
+    let port = free_port();
+    let mut first = config(1, port);
+    first.linger = kernel::Millis(5_000);
+    let a = Engine::start(first, site.clone()).await.unwrap();
+    a.configure(engine::Configuration {
+        version: 1,
+        ..engine::Configuration::default()
+    });
+    a.register(site.infos());
+    eventually("shard taken", || a.owns()).await;
+    let leaving = {
+        let a = a.clone();
+        tokio::spawn(async move { a.leave().await })
+    };
+    let b = Engine::start(config(2, port), site.clone()).await.unwrap();
+    eventually("handed over", || b.owns()).await;
+    eventually("configuration read", || b.ready()).await;
+    assert_eq!(b.submit(job(1, 2, 30)).await, Answer::Completed);
+    leaving.await.unwrap();
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
--- /dev/null
+++ b/components/engine/tests/whole_path.rs
@@ -0,0 +1,53 @@
+//! One job through one VM and through two.
+
+mod common;
+
+use common::{Site, eventually, free_port, job, vm};
+use engine::Answer;
+
+#[tokio::test]
+async fn one_vm() {
+    let site = Site::new(&[32, 48]);
+    let a = vm(1, free_port(), &site).await;
+    eventually("shard taken", || a.owns()).await;
+    assert_eq!(a.submit(job(1, 8, 30)).await, Answer::Completed);
+    assert_eq!(site.starts(), 8);
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn other_owner() {
+    let site = Site::new(&[32, 48]);
+    let port = free_port();
+    let a = vm(1, port, &site).await;
+    let b = vm(2, port, &site).await;
+    eventually("one owner", || a.owns() != b.owns()).await;
+    let (x, y) = tokio::join!(a.submit(job(1, 4, 30)), b.submit(job(2, 4, 30)));
+    assert_eq!((x, y), (Answer::Completed, Answer::Completed));
+    assert_eq!(site.broken(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn too_large() {
+    // No minion can ever hold the task: refused at once, and nothing ran.
+    let site = Site::new(&[8, 8]);
+    let a = vm(1, free_port(), &site).await;
+    eventually("shard taken", || a.owns()).await;
+    let answer = a.submit(job(1, 1, 30)).await;
+    assert!(matches!(answer, Answer::Refused { .. }), "{answer:?}");
+    assert_eq!(site.starts(), 0);
+}
+
+#[tokio::test]
+async fn caller_gone() {
+    let site = Site::new(&[32]);
+    let a = vm(1, free_port(), &site).await;
+    eventually("shard taken", || a.owns()).await;
+    let call = {
+        let a = a.clone();
+        tokio::spawn(async move { a.submit(job(1, 2, 5_000)).await })
+    };
+    eventually("tasks run", || site.running() == 2).await;
+    call.abort();
+    eventually("tasks stopped", || site.running() == 0).await;
+}
--- a/components/schedule/src/admission.rs
+++ b/components/schedule/src/admission.rs
@@ -11,9 +11,9 @@
 /// certain.
 const HOPELESS: f64 = 0.45;
 
-/// The hint for a job whose tasks take longer than its caller waits: only
-/// another deadline helps.
-const HOPELESS_RETRY: Millis = Millis(60_000);
+/// The hint for a job whose tasks take longer than its caller waits, or that no
+/// minion can hold: trying again soon won't help.
+pub(crate) const HOPELESS_RETRY: Millis = Millis(60_000);
 
 /// The decision on a job that arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -130,6 +130,7 @@
         let foreign = foreign.filter(|r| r.of.is_none() && r.stopping.is_none());
         let foreign: Vec<_> = foreign.map(|r| (r.task.clone(), r.number)).collect();
         for (task, number) in foreign {
+            self.remember(&task, number, now);
             self.stop(id, &task, number, now);
         }
         for (run, kind) in ended {
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -7,10 +7,10 @@
 use kernel::{HashMap, Millis, MinionId, Timestamp};
 use serde::{Deserialize, Serialize};
 
-use crate::admission::{Admission, Backlog, decide};
+use crate::admission::{Admission, Backlog, HOPELESS_RETRY, decide};
 use crate::config::ScheduleConfig;
 use crate::ids::{Fence, JobId, LeaseTime, RunNumber, TaskName};
-use crate::job::{Job, JobSpec, Outcome, Summary, TaskState};
+use crate::job::{Job, JobSpec, Outcome, Step, Summary, TaskState};
 use crate::minion::{Grip, Minion, MinionInfo};
 use crate::order::{late, rank};
 use crate::place::Rooms;
@@ -214,6 +214,11 @@
     /// is stopped first: its caller has given it up.
     pub fn submit(&mut self, now: Timestamp, spec: JobSpec) -> Admission {
         self.close(&spec.id, now);
+        if !self.holds(&spec) {
+            return Admission::Refused {
+                retry: HOPELESS_RETRY,
+            };
+        }
         let expected = self.expected(&spec);
         let last = self.past.get(&spec.id).map_or(RunNumber(0), |p| p.last);
         let job = Job::new(spec, last, now, expected);
@@ -237,6 +242,19 @@
         admission
     }
 
+    /// Tells whether minions here could hold each task if they were empty.
+    fn holds(&self, spec: &JobSpec) -> bool {
+        let fits = |step: &Step| {
+            self.minions.values().any(|m| {
+                let label = step.label.as_ref();
+                m.info.service == spec.service
+                    && step.need.fits(&m.info.capacity)
+                    && label.is_none_or(|l| m.info.labels.contains(l))
+            })
+        };
+        spec.steps.iter().all(fits)
+    }
+
     /// Ends a job whose caller is gone; its runs are stopped, and nobody is
     /// told.
     pub fn cancel(&mut self, id: &JobId, now: Timestamp) {
@@ -522,6 +540,20 @@
         Some(job.summary(now))
     }
 
+    /// Remembers a run of another owner, so that a job that is sent again here
+    /// counts its runs on from there.
+    pub(crate) fn remember(&mut self, task: &TaskName, number: RunNumber, now: Timestamp) {
+        let Some(job) = task.job() else {
+            return;
+        };
+        let past = self.past.entry(job).or_insert(Past {
+            last: number,
+            ended: now,
+        });
+        past.last = past.last.max(number);
+        past.ended = now;
+    }
+
     /// Lets the task of a run that is over without a result wait again.
     pub(crate) fn requeue(&mut self, run: &Run) {
         let Some((id, index)) = &run.of else {
