Logs through a bounded queue, metrics as text on the platform

Cause: every log line was a write to standard output, which blocks when its reader does not read; the platform's metrics address was not served.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use kernel::{HashMap, Timestamp};
+use metrics::{Count, Gauge};
 use ownership::{Beat, Change, Claim, Report, Shard};
 use wire::{decode, encode};
 
@@ -84,6 +85,7 @@
         let all = now.since(idle) >= core.cfg.ownership.idle_beat;
         if all {
             idle = now;
+            levels(&core, now);
             pull_configuration(&core, now);
             pull_register(&core, now);
         }
@@ -91,6 +93,20 @@
     }
 }
 
+/// Sets the levels of what this VM owns.
+fn levels<M>(core: &Core<M>, now: Timestamp) {
+    let owned = core.owned.load();
+    let loads = owned.values().map(|o| o.lock().scheduler.load(now));
+    let loads: Vec<_> = loads.collect();
+    let metrics = &core.metrics;
+    metrics.set(Gauge::ShardsOwned, loads.len() as u64);
+    let minions: u32 = loads.iter().map(|l| l.minions).sum();
+    metrics.set(Gauge::MinionsHeld, u64::from(minions));
+    let free: f64 = loads.iter().map(|l| l.free).sum();
+    metrics.set(Gauge::CoresFree, free as u64);
+    metrics.set(Gauge::PeersLive, core.peers().alive(now).count() as u64);
+}
+
 /// Returns the shards that minions are registered for.
 fn shards<M>(core: &Core<M>) -> Vec<Shard> {
     let Some(register) = core.register.load_full() else {
@@ -178,6 +194,7 @@
 
 /// Adds a shard to those that this VM owns.
 pub(crate) fn install<M>(core: &Core<M>, owned: &Arc<Owned>) {
+    core.metrics.add(Count::ShardTaken, 1);
     core.owned.rcu(|all| {
         let mut all = HashMap::clone(all);
         all.insert(owned.shard.clone(), owned.clone());
@@ -190,6 +207,7 @@
     let Some(owned) = core.owned(shard) else {
         return;
     };
+    core.metrics.add(Count::ShardYielded, 1);
     core.owned.rcu(|all| {
         let mut all = HashMap::clone(all);
         all.remove(shard);
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kernel::{BootClock, Clock, HashMap, Timestamp};
+use metrics::Metrics;
 use ownership::{Peers, Shard, Tokens};
 use schedule::MinionInfo;
 use tokio::net::UdpSocket;
@@ -21,6 +22,8 @@
 pub(crate) struct Core<M> {
     pub cfg: EngineConfig,
     pub clock: BootClock,
+    /// Counters and levels.
+    pub metrics: Metrics,
     /// Gives orders to minions.
     pub minions: M,
     /// Calls other VMs.
--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use kernel::{HashSet, MinionId};
+use metrics::Count;
 use ownership::shard_of;
 use schedule::{
     Action, Fence, Heard, JobId, MinionInfo, Outcome, Scheduler, StartOrder, StartReply, StopOrder,
@@ -50,6 +51,7 @@
                 tokio::spawn(start(core.clone(), owned.clone(), order));
             }
             Action::Stop(order) => {
+                core.metrics.add(Count::RunStopped, 1);
                 tokio::spawn(stop(core.clone(), owned.clone(), order));
             }
             Action::Settle(id, outcome, sum) => {
@@ -58,6 +60,7 @@
                     took_ms = sum.took.0, waited_ms = sum.waited.0; "job ended");
             }
             Action::Ejected(id, span) => {
+                core.metrics.add(Count::MinionEjected, 1);
                 log::warn!(minion:% = id, span_ms = span.0; "minion fails or lags, left out");
             }
         }
@@ -90,7 +93,9 @@
         }
         reply = core.minions.start(&order).await.after(reply);
     }
+    core.metrics.add(Count::TaskSent, 1);
     if !matches!(reply, StartReply::Accepted(_)) {
+        core.metrics.add(Count::StartUntaken, 1);
         log::warn!(task:% = order.task, run = order.run.0, minion:% = order.minion, reply:? = reply;
             "start not taken");
     }
@@ -122,6 +127,7 @@
 
 /// Takes note that a minion refused our token, and draws a higher one.
 fn fenced<M>(core: &Core<M>, owned: &Owned, id: &MinionId, refused: Fence, tries: u32) {
+    core.metrics.add(Count::MinionFenced, 1);
     let next = lock(&core.tokens).above(refused, tries);
     owned.lock().scheduler.fenced(id, refused, next);
 }
@@ -208,6 +214,7 @@
                 tokio::time::sleep(RETRY_MOST).await;
             }
             HoldReply::NoAnswer => {
+                core.metrics.add(Count::HoldMissed, 1);
                 if owned.lock().scheduler.hold_missed(&id) {
                     log::warn!(minion:% = id; "minion silent");
                 }
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kernel::{BootClock, Clock, HashMap, Incarnation};
+use metrics::{Gauge, Metrics};
 use ownership::{Peers, Shard, Tokens, VmInfo};
 use schedule::{JobSpec, MinionInfo};
 use tokio::net::UdpSocket;
@@ -93,6 +94,7 @@
         let tokens = Tokens::new(ip, clock.wall());
         let core = Arc::new(Core {
             client: Client::new(TcpConnect, cfg.pool),
+            metrics: Metrics::new(),
             minions,
             socket,
             configuration: ArcSwapOption::empty(),
@@ -165,6 +167,11 @@
         owned.values().map(|o| o.lock().scheduler.pending()).sum()
     }
 
+    /// Returns the counters and levels, which are shared.
+    pub fn metrics(&self) -> Metrics {
+        self.core.metrics.clone()
+    }
+
     /// Returns the shards that this VM owns.
     pub fn shards(&self) -> Vec<Shard> {
         self.core.owned.load().keys().cloned().collect()
@@ -211,6 +218,7 @@
         }
     });
     if changed {
+        core.metrics.set(Gauge::ConfigurationVersion, version);
         log::info!(version = version, queues = queues; "configuration in force");
     }
 }
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kernel::{Millis, Timestamp};
+use metrics::{Count, Timing};
 use ownership::Shard;
 use schedule::{Admission, JobId, JobSpec, Outcome};
 use tokio::sync::oneshot;
@@ -46,6 +47,17 @@
 }
 
 impl Answer {
+    /// Returns the counter of such answers.
+    fn count(self) -> Count {
+        match self {
+            Answer::Completed => Count::JobComplete,
+            Answer::Failed => Count::JobFailed,
+            Answer::Refused { .. } => Count::JobNotRun,
+            Answer::Lost => Count::JobMayHaveRun,
+            Answer::Expired => Count::JobExpired,
+        }
+    }
+
     /// Returns what is true of a job that was run again after `earlier`: that
     /// nothing of it has run holds only if it held before.
     pub fn after(self, earlier: Option<Answer>) -> Answer {
@@ -123,17 +135,27 @@
 /// Runs a job for a caller of this VM, again if its owner is lost on the way.
 pub(crate) async fn submit<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Answer {
     let start = core.now();
+    core.metrics.add(Count::JobReceived, 1);
+    let answer = repeat(core, &spec, start).await;
+    core.metrics.add(answer.count(), 1);
+    let took = Duration::from_micros(core.now().micros_since(start));
+    core.metrics.time(Timing::Response, took);
+    answer
+}
+
+async fn repeat<M: Minions>(core: &Arc<Core<M>>, spec: &JobSpec, start: Timestamp) -> Answer {
     let mut answer = None;
     loop {
-        let left = remaining(&spec, start, core.now());
+        let left = remaining(spec, start, core.now());
         let latest = attempt(core, left).await.after(answer);
-        let left = remaining(&spec, start, core.now());
+        let left = remaining(spec, start, core.now());
         let again = RERUN_WAIT.0 + spec.critical_path().0;
         if latest != Answer::Lost || left.patience.0 < again {
             return latest;
         }
         answer = Some(latest);
         tokio::time::sleep(RERUN_WAIT.duration()).await;
+        core.metrics.add(Count::JobRepeated, 1);
         log::info!(job:% = spec.id, left_ms = left.patience.0; "job run again");
     }
 }
--- a/components/entry/src/levels.rs
+++ b/components/entry/src/levels.rs
@@ -53,6 +53,11 @@
         Gauge::LogAway => usize::from(status.log == "away"),
         Gauge::KeptBytes => status.kept_bytes,
         Gauge::TeamsAtQuota => status.teams.iter().filter(|t| t.held >= t.limit).count(),
+        // Levels of the engine of the users' platform.
+        Gauge::ShardsOwned
+        | Gauge::MinionsHeld
+        | Gauge::CoresFree
+        | Gauge::ConfigurationVersion => 0,
     };
     level as u64
 }
--- a/components/metrics/src/lib.rs
+++ b/components/metrics/src/lib.rs
@@ -6,8 +6,10 @@
 mod plugin;
 mod send;
 mod table;
+mod text;
 
 pub use name::{Count, Gauge, Timing};
 pub use plugin::Config;
 pub use send::{SendError, Sender};
 pub use table::Metrics;
+pub use text::TextPage;
--- a/components/metrics/src/name.rs
+++ b/components/metrics/src/name.rs
@@ -52,6 +52,15 @@
         SheetRefused, "sheet.refused", "Changes of the sheet that were refused.";
         HeartbeatSent, "peers.heartbeats", "Heartbeats sent to peers.";
         DigestSent, "peers.digests", "Digests sent to peers of the domain.";
+        JobExpired, "jobs.expired", "Jobs that ran and did not end before their deadline.";
+        JobFailed, "jobs.failed", "Jobs of which a task failed as often as it may.";
+        JobRepeated, "jobs.repeated", "Jobs run again because their owner was lost.";
+        StartUntaken, "starts.untaken", "Starts that a minion did not take.";
+        RunStopped, "runs.stopped", "Stops sent for runs.";
+        HoldMissed, "holds.missed", "Holds that a minion did not answer.";
+        MinionFenced, "minions.fenced", "Orders that a minion refused for their token.";
+        ShardTaken, "shards.taken", "Shards that this VM took or accepted.";
+        ShardYielded, "shards.yielded", "Shards that this VM gave up or handed over.";
         EventMissed, "timeline.missed", "Events that the time line could not record.";
         WasteNotStarted, "waste.not_started", "Tasks sent that a minion turned away or that never left.";
         WasteResent, "waste.resent", "Tasks sent again after they provably did not start.";
@@ -75,6 +84,10 @@
         PeersLive, "peers.live", "Peers that answer.";
         SheetOffset, "sheet.offset", "The offset of the sheet in force.";
         LogAway, "log.away", "1 while the platform's log can't be reached, else 0.";
+        ShardsOwned, "shards.owned", "Shards that this VM owns.";
+        MinionsHeld, "minions.held", "Minions of this VM's shards that may get work.";
+        CoresFree, "cores.free", "Free cores of those minions.";
+        ConfigurationVersion, "configuration.version", "The version of the configuration in force.";
         KeptBytes, "jobs.kept_bytes", "Bytes of answers kept for resubmissions.";
         TeamsAtQuota, "teams.at_quota", "Teams whose jobs hold all slots of their quota.";
     }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -56,6 +56,7 @@
         .map_err(CommandError::Io)?;
     let served = runtime.block_on(serve(cfg, routing, limits, reports, stop.0));
     runtime.shutdown_timeout(EXIT_WAIT);
+    logs::finish();
     served
 }
 
@@ -68,6 +69,7 @@
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(CommandError::Io)?;
     let served = runtime.block_on(platform::serve(Path::new(&path)));
+    logs::finish();
     served.map_err(CommandError::Platform)
 }
 
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,6 +1,9 @@
-//! Logs as JSON lines on standard output.
+//! Logs as JSON lines on standard output, through a queue of fixed size, so that
+//! nothing ever waits for their reader.
 
-use std::time::SystemTime;
+use std::io::Write;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime};
 
 use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Record};
@@ -60,6 +63,9 @@
 ///
 /// Fails when they are set up already.
 pub fn start(level: LevelFilter) -> Result<(), CommandError> {
+    let queue = LineQueue::default();
+    let lines = queue.clone();
+    std::thread::spawn(move || write_lines(&queue));
     fern::Dispatch::new()
         .level(level)
         // Settings choose these by themselves.
@@ -71,7 +77,9 @@
             EVENTS => out.finish(format_args!("{message}")),
             _ => out.finish(format_args!("{}", line(record))),
         })
-        .chain(std::io::stdout())
+        .chain(fern::Output::call(move |record| {
+            lines.push(&record.args().to_string());
+        }))
         .apply()
         .map_err(CommandError::Logs)
 }
@@ -86,3 +94,75 @@
     };
     serde_json::to_string(&line).unwrap_or_default()
 }
+
+/// The most bytes of lines that wait for standard output.
+const QUEUE_SIZE: usize = 1 << 20;
+
+/// Time between two writes: many lines go out in one, and a person who follows
+/// them does not notice.
+const WRITE_PERIOD: Duration = Duration::from_millis(50);
+
+/// Lines on their way to standard output.
+#[derive(Debug, Default)]
+struct Queue {
+    /// Whole lines.
+    lines: Vec<u8>,
+    /// Lines that found no room since the last write.
+    dropped: u64,
+}
+
+/// Takes lines without ever waiting for their reader.
+#[derive(Debug, Clone, Default)]
+pub struct LineQueue(Arc<Mutex<Queue>>);
+
+impl LineQueue {
+    /// Adds a line, or counts it as dropped.
+    pub fn push(&self, line: &str) {
+        let mut queue = self.lock();
+        if queue.lines.len() + line.len() >= QUEUE_SIZE {
+            queue.dropped += 1;
+            return;
+        }
+        queue.lines.extend_from_slice(line.as_bytes());
+        queue.lines.push(b'\n');
+    }
+
+    /// Writes what waits, and tells of lines that were dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the output can't be written.
+    pub fn write_to(&self, out: &mut impl Write) -> std::io::Result<()> {
+        let Queue { lines, dropped } = std::mem::take(&mut *self.lock());
+        out.write_all(&lines)?;
+        if dropped > 0 {
+            let message = "log lines dropped, their reader is too slow";
+            writeln!(
+                out,
+                "{{\"level\":\"WARN\",\"message\":\"{message}\",\"count\":{dropped}}}"
+            )?;
+        }
+        out.flush()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Writes lines to standard output for ever, on a thread of its own, as that may
+/// block.
+fn write_lines(queue: &LineQueue) {
+    loop {
+        std::thread::sleep(WRITE_PERIOD);
+        if queue.write_to(&mut std::io::stdout().lock()).is_err() {
+            // Nobody reads any more; later lines are dropped.
+            return;
+        }
+    }
+}
+
+/// Writes the last lines at the process's end, for a short time only.
+pub fn finish() {
+    std::thread::sleep(WRITE_PERIOD * 2);
+}
