--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -107,16 +107,10 @@
     metrics.set(Gauge::PeersLive, core.peers().alive(now).count() as u64);
 }
 
-/// Returns the shards that minions are registered for.
+/// Returns all shards of the site.
 fn shards<M>(core: &Core<M>) -> Vec<Shard> {
-    let Some(register) = core.register.load_full() else {
-        return Vec::new();
-    };
-    let mut domains: Vec<_> = register.iter().map(|m| &m.domain).collect();
-    domains.sort();
-    domains.dedup();
     let indices = 0..core.cfg.shards;
-    let all = domains.into_iter().flat_map(|domain| {
+    let all = core.cfg.domains.iter().flat_map(|domain| {
         indices.clone().map(|index| Shard {
             domain: domain.clone(),
             index,
@@ -318,7 +312,13 @@
     if core.register.load().is_some() {
         return;
     }
-    let Some(from) = core.peers().any(now) else {
+    let from = {
+        let peers = core.peers();
+        let owner = peers.owners().map(|(_, o)| o.claim.addr).next();
+        // Owners always have one.
+        owner.or_else(|| peers.any(now))
+    };
+    let Some(from) = from else {
         return;
     };
     let core = core.clone();
--- a/components/engine/src/config.rs
+++ b/components/engine/src/config.rs
@@ -16,6 +16,8 @@
     pub beats: u16,
     /// The failure domain.
     pub domain: Domain,
+    /// All failure domains, whose shards need owners.
+    pub domains: Vec<Domain>,
     /// The share of a processor in thousandths.
     pub share: u32,
     /// Addresses where other VMs may be.
--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -59,6 +59,12 @@
                     done = sum.done, failures = sum.failures, expected_ms = sum.expected.0,
                     took_ms = sum.took.0, waited_ms = sum.waited.0; "job ended");
             }
+            Action::Failed(id, task, run, kind) => {
+                log::warn!(task:% = task, run = run.0, minion:% = id, kind:? = kind; "run failed");
+            }
+            Action::Hung(id, task, run) => {
+                log::warn!(task:% = task, run = run.0, minion:% = id; "run hangs, stopped");
+            }
             Action::Ejected(id, span) => {
                 core.metrics.add(Count::MinionEjected, 1);
                 log::warn!(minion:% = id, span_ms = span.0; "minion fails or lags, left out");
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -25,6 +25,10 @@
 use crate::peers::PeerHandler;
 use crate::submit::{Answer, submit};
 
+/// How many VMs of a domain besides the first keep up with the register, ready
+/// to take a shard while the store is away.
+const STANDBYS: usize = 1;
+
 /// Why an engine can't start.
 #[derive(Debug)]
 pub enum StartError {
@@ -161,6 +165,21 @@
         !self.core.owned.load().is_empty()
     }
 
+    /// Tells whether this VM should keep up with the register of minions: it
+    /// owns some, or is among the first that would take its domain's. Others
+    /// get it from an owner when they need it, as the store can't tell
+    /// hundreds of VMs of thousands of minions.
+    pub fn follows_register(&self) -> bool {
+        let now = self.core.now();
+        let peers = self.core.peers();
+        let indices = 0..self.core.cfg.shards;
+        let mut ranks = indices.map(|index| {
+            let domain = self.core.cfg.domain.clone();
+            peers.rank(&Shard { domain, index }, now)
+        });
+        self.owns() || ranks.any(|rank| rank <= STANDBYS)
+    }
+
     /// Returns how many accepted jobs of this VM's shards have not started.
     pub fn pending(&self) -> usize {
         let owned = self.core.owned.load();
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -217,17 +217,9 @@
 
     /// Returns after how many microseconds without owner this VM takes a shard.
     fn delay(&self, shard: &Shard, now: Timestamp) -> Option<u64> {
-        let score = |vm: &VmInfo| {
-            let key = format!("{shard} {}", vm.addr);
-            (
-                vm.domain == shard.domain,
-                vm.share,
-                key_hash(key.as_bytes()),
-            )
-        };
-        let mine = score(&self.me);
+        let mine = score(shard, &self.me);
         let before = self.alive(now).filter(|vm| !vm.leaving);
-        let before = before.filter(|vm| score(vm) > mine);
+        let before = before.filter(|vm| score(shard, vm) > mine);
         let before: Vec<_> = before.map(|vm| vm.domain == shard.domain).collect();
         let rank = before.len() as u64;
         let mut delay = rank * self.cfg.stagger.micros();
@@ -241,6 +233,14 @@
         Some(delay)
     }
 
+    /// Returns how many VMs of this one's domain would take a shard before it.
+    pub fn rank(&self, shard: &Shard, now: Timestamp) -> usize {
+        let mine = score(shard, &self.me);
+        let alive = self.alive(now).filter(|vm| !vm.leaving);
+        let home = alive.filter(|vm| vm.domain == self.me.domain);
+        home.filter(|vm| score(shard, vm) > mine).count()
+    }
+
     fn claim(&mut self, shard: &Shard) -> Epoch {
         let epoch = self.epochs.entry(shard.clone()).or_default();
         epoch.0 += 1;
@@ -360,3 +360,14 @@
         all
     }
 }
+
+/// Ranks a VM as a shard's owner: those of its domain first, then the largest;
+/// the hash spreads shards over equal VMs.
+fn score(shard: &Shard, vm: &VmInfo) -> (bool, u32, u128) {
+    let key = format!("{shard} {}", vm.addr);
+    (
+        vm.domain == shard.domain,
+        vm.share,
+        key_hash(key.as_bytes()),
+    )
+}
--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -6,7 +6,7 @@
 use crate::job::{Outcome, TaskState};
 use crate::minion::{EndKind, Grip, HoldOrder, Listing, StartReply};
 use crate::run::{Phase, Run};
-use crate::scheduler::Scheduler;
+use crate::scheduler::{Action, Scheduler};
 
 /// What a list says of the minion itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -221,6 +221,10 @@
                 _ => {}
             }
         }
+        if run.of.is_some() && matches!(kind, EndKind::Failed | EndKind::Lapsed) {
+            let failed = Action::Failed(id.clone(), run.task.clone(), run.number, kind);
+            self.actions.push(failed);
+        }
         match kind {
             EndKind::Done => self.done(run, took, now),
             EndKind::Failed => self.fail(run, now),
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -295,7 +295,6 @@
             latest: LeaseTime(0),
             stopping: None,
             stopped: None,
-            hung: false,
         });
     }
 }
--- a/components/schedule/src/run.rs
+++ b/components/schedule/src/run.rs
@@ -45,8 +45,6 @@
     pub stopping: Option<Timestamp>,
     /// The minion's clock when it answered a stop.
     pub stopped: Option<LeaseTime>,
-    /// True if its time was up and it is taken for hung.
-    pub hung: bool,
 }
 
 impl Run {
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -11,7 +11,7 @@
 use crate::config::ScheduleConfig;
 use crate::ids::{Fence, JobId, LeaseTime, RunNumber, TaskName};
 use crate::job::{Job, JobSpec, Outcome, Step, Summary, TaskState};
-use crate::minion::{Grip, Minion, MinionInfo};
+use crate::minion::{EndKind, Grip, Minion, MinionInfo};
 use crate::order::{late, rank};
 use crate::place::Rooms;
 use crate::run::{Phase, Run};
@@ -73,6 +73,10 @@
     Settle(JobId, Outcome, Summary),
     /// A minion gets no work for the given time.
     Ejected(MinionId, Millis),
+    /// A run ended by itself without a result, for logs.
+    Failed(MinionId, TaskName, RunNumber, EndKind),
+    /// A run lasts too long and is stopped, for logs.
+    Hung(MinionId, TaskName, RunNumber),
 }
 
 /// How busy a shard is, as told to all entry VMs.
@@ -115,7 +119,7 @@
     past: HashMap<JobId, Past>,
     /// Actual over estimated run time, by queue.
     ratios: HashMap<CompactString, f64>,
-    actions: Vec<Action>,
+    pub(crate) actions: Vec<Action>,
     /// True while the shard is being handed over: nothing is decided.
     pub(crate) frozen: bool,
 }
@@ -350,8 +354,9 @@
                 let shown = minion.listed.since(run.sent);
                 let hangs = run.of.is_some() && shown.0 as f64 > limit;
                 if hangs && run.stopping.is_none() {
-                    run.hung = true;
                     minion.health.failed();
+                    let hung = Action::Hung(minion.info.id.clone(), run.task.clone(), run.number);
+                    self.actions.push(hung);
                     stops.push((minion.info.id.clone(), run.task.clone(), run.number));
                 }
                 let again = run
@@ -481,7 +486,6 @@
             latest: lease,
             stopping: None,
             stopped: None,
-            hung: false,
         });
         self.actions.push(Action::Start(StartOrder {
             minion: on.clone(),
--- a/components/schedule/src/transfer.rs
+++ b/components/schedule/src/transfer.rs
@@ -171,6 +171,5 @@
         latest: LeaseTime(0),
         stopping: None,
         stopped: None,
-        hung: false,
     }
 }
--- a/components/schedule/tests/resent.rs
+++ b/components/schedule/tests/resent.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::{World, job};
-use schedule::Outcome;
+use kernel::Millis;
+use schedule::{JobSpec, Outcome};
 
 #[test]
 fn first_stopped() {
@@ -19,6 +20,38 @@
     assert_eq!(ended, [Outcome::Completed]);
 }
 
+#[test]
+fn orphans_stopped() {
+    let mut world = World::new(6, 2, &[32, 32]);
+    world.run(20);
+    world.submit(0, job(1, 2, 14, 900), 900);
+    world.run(50);
+    // A new owner stops what it did not start, though its leases renew.
+    world.frozen[0] = true;
+    world.own(1);
+    world.run(150);
+    let running: usize = world.minions.values().map(|m| m.running().len()).sum();
+    assert_eq!(running, 0);
+}
+
+#[test]
+fn mute_minion() {
+    let mut world = World::new(8, 1, &[32]);
+    world.run(20);
+    let patient = JobSpec {
+        patience: Millis(20_000),
+        ..job(1, 2, 14, 9_000)
+    };
+    world.submit(0, patient, 9_000);
+    world.run(50);
+    // Orders arrive and no answer comes back: the lease must lapse, as nothing
+    // there can be stopped for certain.
+    world.faults.mute = 1.0;
+    world.run(2_500);
+    let running: usize = world.minions.values().map(|m| m.running().len()).sum();
+    assert_eq!(running, 0);
+}
+
 #[test]
 fn other_owner() {
     let mut world = World::new(4, 2, &[32, 32]);
