An owner without minions refuses what has not started at once

Change: while no minion obeys, jobs that have not started are refused at once, so that their VM asks another shard.

--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -305,6 +305,8 @@
     fn expire(&mut self, now: Timestamp) {
         let slack = self.cfg.reply_slack;
         let part = self.cfg.refuse_part;
+        let held = |m: &Minion| m.grip == Grip::Held && !m.info.draining;
+        let served = self.minions.values().any(held);
         let mut over = Vec::new();
         for (id, job) in &self.jobs {
             if now.after(slack) >= job.deadline {
@@ -313,7 +315,7 @@
             }
             let waited = now.micros_since(job.arrived);
             let patient = (waited as f64) < part * job.spec.objective.micros() as f64;
-            if !job.started && !patient && late(job, now) {
+            if !job.started && (!served || !patient && late(job, now)) {
                 over.push((id.clone(), self.gone(job)));
             }
         }
--- /dev/null
+++ b/components/schedule/tests/cut_off.rs
@@ -0,0 +1,23 @@
+//! An owner that is cut off from its minions.
+
+mod common;
+
+use common::{World, job};
+use schedule::Outcome;
+
+#[test]
+fn refused_at_once() {
+    let mut world = World::new(9, 1, &[32]);
+    world.run(20);
+    world.submit(0, job(1, 2, 14, 900), 900);
+    // No room for the second one, which waits.
+    world.submit(0, job(2, 1, 14, 900), 900);
+    world.faults.lost = 1.0;
+    world.run(900);
+    let second = "0000000000000002".parse().unwrap();
+    let ended = world.outcomes.iter().find(|(_, id, _)| *id == second);
+    let (at, _, outcome) = ended.expect("still waits");
+    assert!(matches!(outcome, Outcome::Refused { .. }), "{outcome:?}");
+    // Well before the time at which it would have been too late.
+    assert!(*at < 1_700, "{at}");
+}
