--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -9,11 +9,11 @@
 use ownership::{Beat, Change, Claim, Report, Shard};
 use wire::{decode, encode};
 
+use crate::calls::{call_configuration, call_register};
 use crate::control::Minions;
 use crate::core::{Core, lock};
 use crate::drive;
 use crate::owned::{Ending, Owned};
-use crate::peers::{call_configuration, call_register};
 
 /// The largest beat in bytes, within one Ethernet frame's worth of fragments.
 const BEAT_SIZE: usize = 8 << 10;
--- a/components/engine/src/peers.rs
+++ b/components/engine/src/calls.rs
@@ -17,7 +17,7 @@
 use crate::control::Minions;
 use crate::core::Core;
 use crate::model::Configuration;
-use crate::{handover, owned, submit};
+use crate::{handover, here, owned};
 
 /// Where jobs for an owner are taken.
 const JOBS: &str = "/v1/jobs";
@@ -221,8 +221,8 @@
         self.0.peers().touch(call.from, self.0.now());
         let from = Some(call.from);
         match call.ask {
-            Ask::Run(spec) => submit::run_here(&self.0, &owned, spec, from).await,
-            Ask::Resume(id) => submit::resume_here(&self.0, &owned, &id, from).await,
+            Ask::Run(spec) => here::run_here(&self.0, &owned, spec, from).await,
+            Ask::Resume(id) => here::resume_here(&self.0, &owned, &id, from).await,
         }
     }
 }
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -10,20 +10,20 @@
 use kernel::{BootClock, Clock, HashMap, Incarnation};
 use metrics::{Gauge, Metrics};
 use ownership::{Peers, Shard, Tokens, VmInfo};
-use schedule::{JobSpec, MinionInfo};
+use schedule::{JobSpec, MinionInfo, Outcome};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use wire::{Client, Server, TcpConnect};
 
 use crate::beats;
+use crate::calls::PeerHandler;
 use crate::config::EngineConfig;
 use crate::control::Minions;
 use crate::core::Core;
 use crate::drive;
 use crate::handover;
 use crate::model::Configuration;
-use crate::peers::PeerHandler;
-use crate::submit::{Answer, submit};
+use crate::submit::submit;
 
 /// How many VMs of a domain besides the first keep up with the register, ready
 /// to take a shard while the store is away.
@@ -140,7 +140,7 @@
     }
 
     /// Runs a job. Dropping the future cancels it.
-    pub async fn submit(&self, spec: JobSpec) -> Answer {
+    pub async fn submit(&self, spec: JobSpec) -> Outcome {
         submit(&self.core, spec).await
     }
 
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -8,11 +8,11 @@
 use ownership::Shard;
 
 use crate::beats;
+use crate::calls::{Handover, call_handover};
 use crate::control::Minions;
 use crate::core::{Core, lock};
 use crate::drive;
 use crate::owned::Waiter;
-use crate::peers::{Handover, call_handover};
 
 /// The pause before a shard is offered again that no VM could take.
 const OFFER_PAUSE: Duration = Duration::from_millis(100);
--- a/platform/src/register.rs
+++ b/components/engine/src/register.rs
@@ -1,11 +1,9 @@
-//! The register of minions, kept from the store's records.
+//! The register of minions, kept from its records.
 
 use compact_str::CompactString;
 use kernel::{HashMap, Millis, Timestamp};
 use schedule::MinionInfo;
 
-use crate::record::decode_minion;
-
 /// How long after trouble with the store a missing record says nothing: records
 /// that lapsed while it was away come back within about two seconds.
 const SETTLE: Millis = Millis(2_500);
@@ -21,23 +19,16 @@
 }
 
 impl Register {
-    /// Takes note of a record. Returns true if the list has changed.
-    pub fn put(&mut self, key: &str, value: &[u8], now: Timestamp) -> bool {
-        if value.is_empty() {
+    /// Takes note of a minion's record, or that it is gone. Returns true if the
+    /// list has changed.
+    pub fn put(&mut self, key: &str, info: Option<MinionInfo>, now: Timestamp) -> bool {
+        let Some(info) = info else {
             self.missing.entry(key.into()).or_insert(now);
             return false;
-        }
-        match decode_minion(key, value) {
-            Ok(info) => {
-                self.missing.remove(key);
-                let old = self.minions.insert(key.into(), info);
-                old.as_ref() != self.minions.get(key)
-            }
-            Err(e) => {
-                log::debug!(key:% = key, error:% = e; "record names no minion");
-                false
-            }
-        }
+        };
+        self.missing.remove(key);
+        let old = self.minions.insert(key.into(), info);
+        old.as_ref() != self.minions.get(key)
     }
 
     /// Takes note of all keys that there are; the others are missing.
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -7,14 +7,13 @@
 use kernel::{Millis, Timestamp};
 use metrics::{Count, Timing};
 use ownership::Shard;
-use schedule::{Admission, JobId, JobSpec, Outcome};
-use tokio::sync::oneshot;
+use schedule::{JobSpec, Outcome};
 
+use crate::calls::{Ask, JobCall, JobReply, call_job};
 use crate::control::Minions;
 use crate::core::{Core, lock};
-use crate::drive;
-use crate::owned::{Ending, Owned, Waiter};
-use crate::peers::{Ask, JobCall, JobReply, call_job};
+use crate::here::{resume_here, run_here};
+use crate::owned::Ending;
 use crate::route::{self, Candidate};
 
 /// How many shards are asked for one job. The first refusal mostly holds for
@@ -28,55 +27,14 @@
 /// The hint to a caller while no shard has an owner; takeovers last about that.
 const NO_OWNER_RETRY: Millis = Millis(1_000);
 
-/// How a job ended towards its caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Answer {
-    /// Every task is done.
-    Completed,
-    /// It failed, and no more of it will run.
-    Failed,
-    /// Nothing of it has run or will run.
-    Refused {
-        /// When room is expected.
-        retry: Millis,
-    },
-    /// It may have run in part, and its result will not come.
-    Lost,
-    /// It ran in part and did not end before the deadline.
-    Expired,
-}
-
-impl Answer {
-    /// Returns the counter of such answers.
-    fn count(self) -> Count {
-        match self {
-            Answer::Completed => Count::JobComplete,
-            Answer::Failed => Count::JobFailed,
-            Answer::Refused { .. } => Count::JobNotRun,
-            Answer::Lost => Count::JobMayHaveRun,
-            Answer::Expired => Count::JobExpired,
-        }
-    }
-
-    /// Returns what is true of a job that was run again after `earlier`: that
-    /// nothing of it has run holds only if it held before.
-    pub fn after(self, earlier: Option<Answer>) -> Answer {
-        match (earlier, self) {
-            (Some(Answer::Lost), Answer::Refused { .. }) => Answer::Lost,
-            (_, answer) => answer,
-        }
-    }
-}
-
-impl From<Outcome> for Answer {
-    fn from(outcome: Outcome) -> Answer {
-        match outcome {
-            Outcome::Completed => Answer::Completed,
-            Outcome::Failed => Answer::Failed,
-            Outcome::Refused { retry } => Answer::Refused { retry },
-            Outcome::Lost => Answer::Lost,
-            Outcome::Expired => Answer::Expired,
-        }
+/// Returns the counter of jobs that end so.
+fn counter(outcome: Outcome) -> Count {
+    match outcome {
+        Outcome::Completed => Count::JobComplete,
+        Outcome::Failed => Count::JobFailed,
+        Outcome::Refused { .. } => Count::JobNotRun,
+        Outcome::Lost => Count::JobMayHaveRun,
+        Outcome::Expired => Count::JobExpired,
     }
 }
 
@@ -105,52 +63,30 @@
     }
 }
 
-/// Cancels a job whose waiter goes away before its end.
-struct JobGuard<'a, M: Minions> {
-    core: &'a Arc<Core<M>>,
-    owned: &'a Arc<Owned>,
-    id: &'a JobId,
-    serial: u64,
-}
-
-impl<M: Minions> Drop for JobGuard<'_, M> {
-    fn drop(&mut self) {
-        let mut state = self.owned.lock();
-        let ours = state.waiters.get(self.id);
-        if ours.is_some_and(|w| w.serial == self.serial) {
-            state.waiters.remove(self.id);
-            state.scheduler.cancel(self.id, self.core.now());
-            drop(state);
-            log::info!(job:% = self.id; "caller gone, job cancelled");
-            drive::perform(self.core, self.owned);
-        }
-    }
-}
-
 /// How long after its owner was lost a job is run again: by then the owner has
 /// cancelled the jobs of a VM that it does not hear, or the leases of what it
 /// started have lapsed.
 const RERUN_WAIT: Millis = Millis(1_200);
 
 /// Runs a job for a caller of this VM, again if its owner is lost on the way.
-pub(crate) async fn submit<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Answer {
+pub(crate) async fn submit<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Outcome {
     let start = core.now();
     core.metrics.add(Count::JobReceived, 1);
     let answer = repeat(core, &spec, start).await;
-    core.metrics.add(answer.count(), 1);
+    core.metrics.add(counter(answer), 1);
     let took = Duration::from_micros(core.now().micros_since(start));
     core.metrics.time(Timing::Response, took);
     answer
 }
 
-async fn repeat<M: Minions>(core: &Arc<Core<M>>, spec: &JobSpec, start: Timestamp) -> Answer {
+async fn repeat<M: Minions>(core: &Arc<Core<M>>, spec: &JobSpec, start: Timestamp) -> Outcome {
     let mut answer = None;
     loop {
         let left = remaining(spec, start, core.now());
         let latest = attempt(core, left).await.after(answer);
         let left = remaining(spec, start, core.now());
         let again = RERUN_WAIT.0 + spec.critical_path().0;
-        if latest != Answer::Lost || left.patience.0 < again {
+        if latest != Outcome::Lost || left.patience.0 < again {
             return latest;
         }
         answer = Some(latest);
@@ -161,9 +97,9 @@
 }
 
 /// Runs a job once.
-async fn attempt<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Answer {
+async fn attempt<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Outcome {
     let start = core.now();
-    let mut refused = Answer::Refused {
+    let mut refused = Outcome::Refused {
         retry: NO_OWNER_RETRY,
     };
     let mut tried: Vec<Shard> = Vec::new();
@@ -175,9 +111,9 @@
         tried.push(shard.clone());
         match at_owner(core, &shard, left).await {
             Ok(Ending::Ended(Outcome::Refused { retry })) => {
-                refused = Answer::Refused { retry };
+                refused = Outcome::Refused { retry };
             }
-            Ok(Ending::Ended(outcome)) => return outcome.into(),
+            Ok(Ending::Ended(outcome)) => return outcome,
             Ok(Ending::Moved(to)) => return resume(core, &shard, &spec, to, start).await,
             Err(Nothing) => {}
         }
@@ -292,127 +228,30 @@
     spec: &JobSpec,
     to: SocketAddr,
     start: Timestamp,
-) -> Answer {
+) -> Outcome {
     let mut to = to;
     loop {
         let left = remaining(spec, start, core.now());
         if left.patience.0 == 0 {
-            return Answer::Lost;
+            return Outcome::Lost;
         }
         let ending = if to == core.cfg.peers {
             match core.owned(shard) {
                 Some(owned) => resume_here(core, &owned, &spec.id, None).await,
-                None => return Answer::Lost,
+                None => return Outcome::Lost,
             }
         } else {
             let wait = Millis(left.patience.0 + OWNER_SLACK.0).duration();
             match call(core, shard, to, Ask::Resume(spec.id.clone()), wait).await {
-                Ok(Ending::Ended(outcome)) => return outcome.into(),
+                Ok(Ending::Ended(outcome)) => return outcome,
                 Ok(Ending::Moved(next)) => JobReply::Moved(next),
-                Err(Nothing) => return Answer::Lost,
+                Err(Nothing) => return Outcome::Lost,
             }
         };
         match ending {
-            JobReply::Ended(outcome) => return outcome.into(),
+            JobReply::Ended(outcome) => return outcome,
             JobReply::Moved(next) => to = next,
-            JobReply::NotOwner => return Answer::Lost,
-        }
-    }
-}
-
-/// Runs a job on a shard of this VM, for a caller of its own or of another VM.
-pub(crate) async fn run_here<M: Minions>(
-    core: &Arc<Core<M>>,
-    owned: &Arc<Owned>,
-    spec: JobSpec,
-    from: Option<SocketAddr>,
-) -> JobReply {
-    let id = spec.id.clone();
-    let now = core.now();
-    let (tell, told) = oneshot::channel();
-    let serial = {
-        let mut state = owned.lock();
-        if !state.live {
-            return JobReply::NotOwner;
-        }
-        if state.scheduler.knows(&id) {
-            // The caller has sent it again, so it has given up the first.
-            log::info!(job:% = id; "job sent again while it ran, the first is stopped");
-            let first = state.waiters.remove(&id).and_then(|w| w.tell);
-            if let Some(first) = first {
-                // It fails if that caller is gone already.
-                let _ = first.send(Ending::Ended(Outcome::Lost));
-            }
-        }
-        state.serial += 1;
-        let serial = state.serial;
-        match state.scheduler.submit(now, spec) {
-            Admission::Refused { retry } => {
-                let load = state.scheduler.load(now);
-                drop(state);
-                drive::perform(core, owned);
-                log::info!(job:% = id, shard:% = owned.shard, retry_ms = retry.0, free = load.free,
-                    waiting = load.waiting, cores = load.cores; "job refused, no room in time");
-                return JobReply::Ended(Outcome::Refused { retry });
-            }
-            Admission::Taken => {}
-        }
-        let waiter = Waiter {
-            tell: Some(tell),
-            from,
-            since: now,
-            serial,
-        };
-        state.waiters.insert(id.clone(), waiter);
-        serial
-    };
-    wait_here(core, owned, &id, serial, told).await
-}
-
-/// Waits for a job that was handed over to this VM.
-pub(crate) async fn resume_here<M: Minions>(
-    core: &Arc<Core<M>>,
-    owned: &Arc<Owned>,
-    id: &JobId,
-    from: Option<SocketAddr>,
-) -> JobReply {
-    let (tell, told) = oneshot::channel();
-    let serial = {
-        let mut state = owned.lock();
-        if let Some((outcome, _)) = state.kept.remove(id) {
-            return JobReply::Ended(outcome);
+            JobReply::NotOwner => return Outcome::Lost,
         }
-        state.serial += 1;
-        let serial = state.serial;
-        let Some(waiter) = state.waiters.get_mut(id) else {
-            return JobReply::Ended(Outcome::Lost);
-        };
-        waiter.tell = Some(tell);
-        waiter.from = from;
-        waiter.serial = serial;
-        serial
-    };
-    wait_here(core, owned, id, serial, told).await
-}
-
-async fn wait_here<M: Minions>(
-    core: &Arc<Core<M>>,
-    owned: &Arc<Owned>,
-    id: &JobId,
-    serial: u64,
-    told: oneshot::Receiver<Ending>,
-) -> JobReply {
-    let guard = JobGuard {
-        core,
-        owned,
-        id,
-        serial,
-    };
-    drive::perform(core, owned);
-    let ending = told.await;
-    drop(guard);
-    match ending {
-        Ok(ending) => ending.into(),
-        Err(_) => JobReply::Ended(Outcome::Lost),
     }
 }
--- a/components/engine/tests/planned_stop.rs
+++ b/components/engine/tests/planned_stop.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Site, config, eventually, free_port, job, vm};
-use engine::{Answer, Engine};
+use engine::{Engine, Outcome};
 
 #[tokio::test]
 async fn running_job() {
@@ -28,7 +28,7 @@
     old.leave().await;
     assert!(new.owns() && !old.owns());
     for call in calls {
-        assert_eq!(call.await.unwrap(), Answer::Completed);
+        assert_eq!(call.await.unwrap(), Outcome::Completed);
     }
     // Nothing was started a second time.
     assert_eq!(site.starts(), 4);
@@ -57,7 +57,7 @@
     let b = Engine::start(config(2, port), site.clone()).await.unwrap();
     eventually("handed over", || b.owns()).await;
     eventually("configuration read", || b.ready()).await;
-    assert_eq!(b.submit(job(1, 2, 30)).await, Answer::Completed);
+    assert_eq!(b.submit(job(1, 2, 30)).await, Outcome::Completed);
     leaving.await.unwrap();
     assert_eq!(site.broken(), Vec::<String>::new());
 }
--- a/components/engine/tests/takeover.rs
+++ b/components/engine/tests/takeover.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{Site, eventually, free_port, job, vm};
-use engine::Answer;
+use engine::Outcome;
 use tokio::runtime::Builder;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -32,7 +32,7 @@
     drop(a);
     runtime.shutdown_background();
     eventually("shard taken over", || b.owns()).await;
-    assert_eq!(call.await.unwrap(), Answer::Completed);
+    assert_eq!(call.await.unwrap(), Outcome::Completed);
     assert_eq!(site.starts(), 4);
     assert_eq!(site.broken(), Vec::<String>::new());
 }
--- a/components/engine/tests/whole_path.rs
+++ b/components/engine/tests/whole_path.rs
@@ -3,14 +3,14 @@
 mod common;
 
 use common::{Site, eventually, free_port, job, vm};
-use engine::Answer;
+use engine::Outcome;
 
 #[tokio::test]
 async fn one_vm() {
     let site = Site::new(&[32, 48]);
     let a = vm(1, free_port(), &site).await;
     eventually("shard taken", || a.owns()).await;
-    assert_eq!(a.submit(job(1, 8, 30)).await, Answer::Completed);
+    assert_eq!(a.submit(job(1, 8, 30)).await, Outcome::Completed);
     assert_eq!(site.starts(), 8);
     assert_eq!(site.broken(), Vec::<String>::new());
 }
@@ -26,7 +26,7 @@
     })
     .await;
     let (x, y) = tokio::join!(a.submit(job(1, 4, 30)), b.submit(job(2, 4, 30)));
-    assert_eq!((x, y), (Answer::Completed, Answer::Completed));
+    assert_eq!((x, y), (Outcome::Completed, Outcome::Completed));
     assert_eq!(site.broken(), Vec::<String>::new());
 }
 
@@ -37,7 +37,7 @@
     let a = vm(1, free_port(), &site).await;
     eventually("shard taken", || a.owns()).await;
     let answer = a.submit(job(1, 1, 30)).await;
-    assert!(matches!(answer, Answer::Refused { .. }), "{answer:?}");
+    assert!(matches!(answer, Outcome::Refused { .. }), "{answer:?}");
     assert_eq!(site.starts(), 0);
 }
 
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -16,4 +16,7 @@
     Domain, IdError, Incarnation, JobKey, MinionId, Place, Service, TaskId, Team, Ticket, VmId,
 };
 pub use registry::{Fault, Key, Kind, Parts, Plugin, Section, plugins};
-pub use units::{Cores, Millis, Offset, Slots, Timestamp, UnitError};
+pub use units::{
+    Cores, Epoch, Fence, Gpus, LeaseTime, Mebibytes, MilliCores, Millis, Offset, RunNumber, Slots,
+    Timestamp, UnitError,
+};
--- a/components/kernel/src/units.rs
+++ b/components/kernel/src/units.rs
@@ -67,6 +67,49 @@
     Cores(u32)
 }
 
+count! {
+    /// Thousandths of a processor core.
+    MilliCores(u32)
+}
+
+count! {
+    /// Memory in mebibytes.
+    Mebibytes(u32)
+}
+
+count! {
+    /// Whole accelerators.
+    Gpus(u32)
+}
+
+count! {
+    /// Which start of a task this is, from 1.
+    RunNumber(u32)
+}
+
+count! {
+    /// A fencing token: a minion obeys only the highest that it has seen.
+    Fence(u64)
+}
+
+count! {
+    /// A moment in milliseconds on a minion's own steady clock, which leases
+    /// are measured on. Moments of two minions can't be compared.
+    LeaseTime(u64)
+}
+
+count! {
+    /// How often a shard has changed hands, as far as its owner knows.
+    Epoch(u64)
+}
+
+impl LeaseTime {
+    /// Returns the moment `span` later.
+    pub fn after(self, span: Millis) -> LeaseTime {
+        LeaseTime(self.0.saturating_add(span.0))
+    }
+}
+
 impl Offset {
     /// Returns the offset behind this one.
     pub fn next(self) -> Offset {
--- a/components/ownership/src/beat.rs
+++ b/components/ownership/src/beat.rs
@@ -1,38 +1,14 @@
 //! What VMs tell each other all the time.
 
 use std::cmp::Ordering;
-use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::num::ParseIntError;
-use std::str::FromStr;
 
-use kernel::{Domain, Incarnation};
+use kernel::{Domain, Epoch, Incarnation};
 use schedule::Load;
 use serde::{Deserialize, Serialize};
 
 use crate::shard::Shard;
 
-/// How often a shard has changed hands, as far as its owner knows.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct Epoch(pub u64);
-
-impl fmt::Display for Epoch {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-impl FromStr for Epoch {
-    type Err = ParseIntError;
-
-    fn from_str(s: &str) -> Result<Epoch, ParseIntError> {
-        s.parse().map(Epoch)
-    }
-}
-
 /// Who a VM is.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmInfo {
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -11,8 +11,9 @@
 mod shard;
 mod token;
 
-pub use beat::{Beat, Claim, Epoch, Report, VmInfo};
+pub use beat::{Beat, Claim, Report, VmInfo};
 pub use config::OwnershipConfig;
+pub use kernel::Epoch;
 pub use peers::{Change, Owner, Peers};
 pub use shard::{Shard, shard_of};
 pub use token::Tokens;
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -2,10 +2,10 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use kernel::{Domain, HashMap, Timestamp, key_hash};
+use kernel::{Domain, Epoch, HashMap, Timestamp, key_hash};
 use schedule::Load;
 
-use crate::beat::{Beat, Claim, Epoch, Report, VmInfo};
+use crate::beat::{Beat, Claim, Report, VmInfo};
 use crate::config::OwnershipConfig;
 use crate::shard::Shard;
 
--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -1,12 +1,13 @@
 //! What the scheduler makes of the minions' answers.
 
-use kernel::{Millis, MinionId, Timestamp};
+use kernel::{Fence, LeaseTime, Millis, MinionId, RunNumber, Timestamp};
 
-use crate::ids::{Fence, LeaseTime, RunNumber, TaskName};
+use crate::action::Action;
+use crate::ids::TaskName;
 use crate::job::{Outcome, TaskState};
 use crate::minion::{EndKind, Grip, HoldOrder, Listing, StartReply};
 use crate::run::{Phase, Run};
-use crate::scheduler::{Action, Scheduler};
+use crate::scheduler::Scheduler;
 
 /// What a list says of the minion itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,7 +32,7 @@
         if self.frozen {
             return None;
         }
-        let lease = self.cfg.lease.0;
+        let lease = self.cfg.lease;
         let wait = self.cfg.hold_wait;
         let minion = self.minions.get_mut(id)?;
         // A lease renewed on a minion whose answers don't arrive would keep
--- /dev/null
+++ b/components/schedule/src/estimate.rs
@@ -0,0 +1,56 @@
+//! How long tasks and jobs take, learned from those that have ended.
+
+use compact_str::CompactString;
+use kernel::{Millis, MinionId};
+
+use crate::ids::JobId;
+use crate::job::{Job, JobSpec, TaskState};
+use crate::scheduler::Scheduler;
+
+/// How much longer a job's slowest task takes than its estimate, as tasks of a
+/// job differ.
+const SLOWEST_TASK: f64 = 1.15;
+
+/// The weight of the newest run in a queue's learned run time.
+const LEARN_WEIGHT: f64 = 0.02;
+
+impl Scheduler {
+    /// Learns from a run that took `ratio` times its estimate on a minion of
+    /// the given slowness.
+    pub(crate) fn learn(&mut self, queue: &CompactString, ratio: f64) {
+        let mean = self.ratios.entry(queue.clone()).or_insert(1.0);
+        *mean += LEARN_WEIGHT * (ratio.clamp(0.2, 5.0) - *mean);
+    }
+
+    pub(crate) fn ratio(&self, queue: &CompactString) -> f64 {
+        self.ratios.get(queue).copied().unwrap_or(1.0)
+    }
+
+    /// Returns how long the job takes once all its tasks can start.
+    pub(crate) fn expected(&self, spec: &JobSpec) -> Millis {
+        let path = spec.critical_path().0 as f64;
+        Millis((path * self.ratio(&spec.queue) * SLOWEST_TASK) as u64)
+    }
+
+    /// Returns how long a task takes on a usual minion and on this one.
+    pub(crate) fn run_time(&self, id: &JobId, index: usize, on: &MinionId) -> (Millis, Millis) {
+        let (Some(job), Some(minion)) = (self.jobs.get(id), self.minions.get(on)) else {
+            return (Millis(0), Millis(0));
+        };
+        let step = &job.spec.steps[usize::from(job.tasks[index].step)];
+        let time = step.estimate.0 as f64 * self.ratio(&job.spec.queue);
+        let here = time * minion.health.pace.clamp(0.5, 3.0);
+        (Millis(time as u64), Millis(here as u64))
+    }
+
+    /// Returns the core milliseconds of a job's tasks that wait.
+    pub(crate) fn waiting_work(&self, job: &Job) -> f64 {
+        let ratio = self.ratio(&job.spec.queue);
+        let waiting = job.tasks.iter().filter(|t| t.state == TaskState::Waiting);
+        let work = waiting.map(|t| {
+            let step = &job.spec.steps[usize::from(t.step)];
+            f64::from(step.need.cpu.0) / 1000.0 * step.estimate.0 as f64
+        });
+        work.sum::<f64>() * ratio
+    }
+}
--- a/components/schedule/src/ids.rs
+++ b/components/schedule/src/ids.rs
@@ -1,7 +1,6 @@
-//! Names of jobs, tasks and runs, and the numbers that order them.
+//! Names of jobs and tasks.
 
 use std::fmt;
-use std::num::ParseIntError;
 use std::str::FromStr;
 
 use compact_str::{CompactString, format_compact};
@@ -88,51 +87,3 @@
         f.write_str(&self.0)
     }
 }
-
-/// Defines a number with `Display` and `FromStr`.
-macro_rules! number {
-    ($(#[$doc:meta])* $name:ident($inner:ty)) => {
-        $(#[$doc])*
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
-        #[derive(Serialize, Deserialize)]
-        #[serde(transparent)]
-        pub struct $name(pub $inner);
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                write!(f, "{}", self.0)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ParseIntError;
-
-            fn from_str(s: &str) -> Result<$name, ParseIntError> {
-                s.parse().map($name)
-            }
-        }
-    };
-}
-
-number! {
-    /// Which start of a task this is, from 1.
-    RunNumber(u32)
-}
-
-number! {
-    /// A fencing token: a minion obeys only the highest that it has seen.
-    Fence(u64)
-}
-
-number! {
-    /// A moment in milliseconds on a minion's own steady clock, which leases
-    /// are measured on. Moments of two minions can't be compared.
-    LeaseTime(u64)
-}
-
-impl LeaseTime {
-    /// Returns the moment `millis` later.
-    pub fn after(self, millis: u64) -> LeaseTime {
-        LeaseTime(self.0.saturating_add(millis))
-    }
-}
--- a/components/schedule/src/job.rs
+++ b/components/schedule/src/job.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use kernel::{Millis, Service, Timestamp};
+use kernel::{Millis, RunNumber, Service, Timestamp};
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{JobId, RunNumber, TaskName};
+use crate::ids::{JobId, TaskName};
 use crate::resources::Resources;
 
 /// Tasks of a job that are alike.
@@ -88,6 +88,17 @@
     Expired,
 }
 
+impl Outcome {
+    /// Returns what is true of a job that was run again after `earlier`: that
+    /// nothing of it has run holds only if it held before.
+    pub fn after(self, earlier: Option<Outcome>) -> Outcome {
+        match (earlier, self) {
+            (Some(Outcome::Lost), Outcome::Refused { .. }) => Outcome::Lost,
+            (_, outcome) => outcome,
+        }
+    }
+}
+
 /// Where a task of a running job stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TaskState {
--- a/components/schedule/src/lib.rs
+++ b/components/schedule/src/lib.rs
@@ -4,9 +4,11 @@
 //! feeds it jobs and the minions' answers and carries out its [`Action`]s
 //! (docs/design/platform.md).
 
+mod action;
 mod admission;
 mod answers;
 mod config;
+mod estimate;
 mod health;
 mod ids;
 mod job;
@@ -16,14 +18,18 @@
 mod resources;
 mod run;
 mod scheduler;
+mod start;
+mod tick;
 mod transfer;
 
+pub use action::{Action, StartOrder, StopOrder};
 pub use admission::Admission;
 pub use answers::Heard;
 pub use config::ScheduleConfig;
-pub use ids::{Fence, JobId, LeaseTime, RunNumber, TaskName, WorkIdError};
+pub use ids::{JobId, TaskName, WorkIdError};
 pub use job::{JobSpec, Outcome, Step, Summary};
+pub use kernel::{Fence, Gpus, LeaseTime, Mebibytes, MilliCores, RunNumber};
 pub use minion::{End, EndKind, HoldOrder, Listing, MinionInfo, StartReply};
-pub use resources::{Gpus, Mebibytes, MilliCores, Resources};
-pub use scheduler::{Action, Load, Scheduler, StartOrder, StopOrder};
+pub use resources::Resources;
+pub use scheduler::{Load, Scheduler};
 pub use transfer::{JobTransfer, MinionTransfer, RunTransfer, TaskTransfer, Transfer};
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
-use kernel::{Domain, Millis, MinionId, Service, Timestamp};
+use kernel::{Domain, Fence, LeaseTime, Millis, MinionId, RunNumber, Service, Timestamp};
 use serde::{Deserialize, Serialize};
 
 use crate::config::ScheduleConfig;
 use crate::health::Health;
-use crate::ids::{Fence, LeaseTime, RunNumber, TaskName};
+use crate::ids::TaskName;
 use crate::resources::Resources;
 use crate::run::{Phase, Run};
 
@@ -194,7 +194,7 @@
     /// Returns the earliest that the minion's clock can show at `now`.
     pub fn clock_at(&self, now: Timestamp) -> Option<LeaseTime> {
         let (clock, at) = self.clock?;
-        Some(clock.after(now.since(at).0))
+        Some(clock.after(now.since(at)))
     }
 
     /// Notes the minion's clock.
--- a/components/schedule/src/resources.rs
+++ b/components/schedule/src/resources.rs
@@ -1,51 +1,10 @@
 //! What a task needs and a minion has, in several dimensions.
 
 use std::fmt;
-use std::num::ParseIntError;
-use std::str::FromStr;
 
+use kernel::{Gpus, Mebibytes, MilliCores};
 use serde::{Deserialize, Serialize};
 
-/// Defines an amount with `Display` and `FromStr`.
-macro_rules! amount {
-    ($(#[$doc:meta])* $name:ident, $unit:literal) => {
-        $(#[$doc])*
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
-        #[derive(Serialize, Deserialize)]
-        #[serde(transparent)]
-        pub struct $name(pub u32);
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                write!(f, concat!("{}", $unit), self.0)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ParseIntError;
-
-            fn from_str(s: &str) -> Result<$name, ParseIntError> {
-                s.strip_suffix($unit).unwrap_or(s).parse().map($name)
-            }
-        }
-    };
-}
-
-amount! {
-    /// Thousandths of a processor core.
-    MilliCores, "m"
-}
-
-amount! {
-    /// Memory in mebibytes.
-    Mebibytes, "Mi"
-}
-
-amount! {
-    /// Whole accelerators.
-    Gpus, ""
-}
-
 /// An amount of each resource.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Resources {
@@ -84,6 +43,6 @@
 
 impl fmt::Display for Resources {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {} {}gpu", self.cpu, self.memory, self.gpus)
+        write!(f, "{}m {}MiB {} gpus", self.cpu, self.memory, self.gpus)
     }
 }
--- a/components/schedule/src/run.rs
+++ b/components/schedule/src/run.rs
@@ -1,8 +1,8 @@
 //! One run of a task on a minion, as its owner knows it.
 
-use kernel::{Millis, Timestamp};
+use kernel::{LeaseTime, Millis, RunNumber, Timestamp};
 
-use crate::ids::{JobId, LeaseTime, RunNumber, TaskName};
+use crate::ids::{JobId, TaskName};
 use crate::resources::Resources;
 
 /// How far a run is. Its room stays taken in every phase, because any of them
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -1,84 +1,18 @@
 //! The scheduler: jobs and minions under one owner.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-
 use compact_str::CompactString;
-use kernel::{HashMap, Millis, MinionId, Timestamp};
+use kernel::{Fence, HashMap, LeaseTime, Millis, MinionId, RunNumber, Timestamp};
 use serde::{Deserialize, Serialize};
 
+use crate::action::Action;
 use crate::admission::{Admission, Backlog, HOPELESS_RETRY, decide};
 use crate::config::ScheduleConfig;
-use crate::ids::{Fence, JobId, LeaseTime, RunNumber, TaskName};
+use crate::ids::{JobId, TaskName};
 use crate::job::{Job, JobSpec, Outcome, Step, Summary, TaskState};
-use crate::minion::{EndKind, Grip, Minion, MinionInfo};
-use crate::order::{late, rank};
-use crate::place::Rooms;
+use crate::minion::{Minion, MinionInfo};
+use crate::order::rank;
 use crate::run::{Phase, Run};
 
-/// How much longer a job's slowest task takes than its estimate, as tasks of a
-/// job differ.
-const SLOWEST_TASK: f64 = 1.15;
-
-/// The weight of the newest run in a queue's learned run time.
-const LEARN_WEIGHT: f64 = 0.02;
-
-/// How many blocked jobs keep a minion free for themselves; more would idle
-/// room that others can use.
-const RESERVATIONS: usize = 2;
-
-/// An order to start a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StartOrder {
-    /// The minion.
-    pub minion: MinionId,
-    /// Where it takes orders.
-    pub addr: SocketAddr,
-    /// The owner's token.
-    pub fence: Fence,
-    /// The task.
-    pub task: TaskName,
-    /// Which of its starts.
-    pub run: RunNumber,
-    /// What the task is told.
-    pub payload: Arc<str>,
-    /// The minion's clock after which it must not start the run, and until
-    /// which it keeps its runs.
-    pub lease: LeaseTime,
-}
-
-/// An order to stop a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StopOrder {
-    /// The minion.
-    pub minion: MinionId,
-    /// Where it takes orders.
-    pub addr: SocketAddr,
-    /// The owner's token.
-    pub fence: Fence,
-    /// The task.
-    pub task: TaskName,
-    /// Which of its starts.
-    pub run: RunNumber,
-}
-
-/// What the owner has to carry out.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Send a start; report its answer with [`Scheduler::started`].
-    Start(StartOrder),
-    /// Send a stop; report its answer with [`Scheduler::stopped`].
-    Stop(StopOrder),
-    /// Tell the job's caller how it ended.
-    Settle(JobId, Outcome, Summary),
-    /// A minion gets no work for the given time.
-    Ejected(MinionId, Millis),
-    /// A run ended by itself without a result, for logs.
-    Failed(MinionId, TaskName, RunNumber, EndKind),
-    /// A run lasts too long and is stopped, for logs.
-    Hung(MinionId, TaskName, RunNumber),
-}
-
 /// How busy a shard is, as told to all entry VMs.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Load {
@@ -101,11 +35,11 @@
 
 /// The run numbers given out for a job that has ended.
 #[derive(Debug, Clone, Copy)]
-struct Past {
+pub(crate) struct Past {
     /// The highest.
-    last: RunNumber,
+    pub last: RunNumber,
     /// When the job ended.
-    ended: Timestamp,
+    pub ended: Timestamp,
 }
 
 /// Decides what runs on a shard's minions.
@@ -116,9 +50,9 @@
     pub(crate) jobs: HashMap<JobId, Job>,
     /// Jobs with waiting tasks.
     pub(crate) queue: Vec<JobId>,
-    past: HashMap<JobId, Past>,
+    pub(crate) past: HashMap<JobId, Past>,
     /// Actual over estimated run time, by queue.
-    ratios: HashMap<CompactString, f64>,
+    pub(crate) ratios: HashMap<CompactString, f64>,
     pub(crate) actions: Vec<Action>,
     /// True while the shard is being handed over: nothing is decided.
     pub(crate) frozen: bool,
@@ -288,236 +222,6 @@
         self.minions.clear();
     }
 
-    /// Does what time asks for. To be called every few tens of milliseconds.
-    pub fn tick(&mut self, now: Timestamp) {
-        if self.frozen {
-            return;
-        }
-        self.expire(now);
-        self.judge_runs(now);
-        self.eject(now);
-        let memory = self.cfg.memory;
-        self.past.retain(|_, p| now.since(p.ended) < memory);
-        self.place(now);
-    }
-
-    /// Ends jobs that can't be answered in time any more.
-    fn expire(&mut self, now: Timestamp) {
-        let slack = self.cfg.reply_slack;
-        let part = self.cfg.refuse_part;
-        let held = |m: &Minion| m.grip == Grip::Held && !m.info.draining;
-        let served = self.minions.values().any(held);
-        let mut over = Vec::new();
-        for (id, job) in &self.jobs {
-            if now.after(slack) >= job.deadline {
-                over.push((id.clone(), self.gone(job)));
-                continue;
-            }
-            let waited = now.micros_since(job.arrived);
-            let patient = (waited as f64) < part * job.spec.objective.micros() as f64;
-            if !job.started && (!served || !patient && late(job, now)) {
-                over.push((id.clone(), self.gone(job)));
-            }
-        }
-        for (id, outcome) in over {
-            self.settle(&id, outcome, now);
-        }
-    }
-
-    fn gone(&self, job: &Job) -> Outcome {
-        if job.started {
-            return Outcome::Expired;
-        }
-        let load = self.queue.iter().filter_map(|id| self.jobs.get(id));
-        let work: f64 = load.map(|j| self.waiting_work(j)).sum();
-        let minions = self.minions.values().filter(|m| m.grip == Grip::Held);
-        let cores: f64 = minions.map(|m| f64::from(m.info.capacity.cpu.0)).sum();
-        Outcome::Refused {
-            retry: Millis((work * 1000.0 / cores.max(1000.0)) as u64),
-        }
-    }
-
-    /// Looks for runs that hang, stops that got lost, and runs of silent
-    /// minions whose leases have lapsed.
-    fn judge_runs(&mut self, now: Timestamp) {
-        let cfg = self.cfg.clone();
-        let mut stops = Vec::new();
-        let mut over = Vec::new();
-        for minion in self.minions.values_mut() {
-            let lapsed = minion.lapsed(now, &cfg);
-            for run in &mut minion.runs {
-                if lapsed {
-                    over.push((minion.info.id.clone(), run.task.clone(), run.number));
-                    continue;
-                }
-                let limit = run.expected.0 as f64 * cfg.hang_factor + cfg.hang_slack.0 as f64;
-                // Its end may wait on a hold whose answer got lost, so only a
-                // list that still has the run shows that it hangs.
-                let shown = minion.listed.since(run.sent);
-                let hangs = run.of.is_some() && shown.0 as f64 > limit;
-                if hangs && run.stopping.is_none() {
-                    minion.health.failed();
-                    let hung = Action::Hung(minion.info.id.clone(), run.task.clone(), run.number);
-                    self.actions.push(hung);
-                    stops.push((minion.info.id.clone(), run.task.clone(), run.number));
-                }
-                let again = run
-                    .stopping
-                    .is_some_and(|at| now.since(at) >= cfg.stop_retry);
-                if again {
-                    stops.push((minion.info.id.clone(), run.task.clone(), run.number));
-                }
-            }
-        }
-        for (id, task, number) in stops {
-            self.stop(&id, &task, number, now);
-        }
-        for (id, task, number) in over {
-            let run = self
-                .minions
-                .get_mut(&id)
-                .and_then(|m| m.remove(&task, number));
-            if let Some(run) = run {
-                self.requeue(&run);
-            }
-        }
-    }
-
-    /// Leaves out minions that fail or crawl, but never most of them.
-    fn eject(&mut self, now: Timestamp) {
-        let held = self.minions.values().filter(|m| m.grip == Grip::Held);
-        let held: Vec<_> = held
-            .map(|m| (m.health.out(now), m.health.slowness))
-            .collect();
-        let usual = held.iter().map(|(_, s)| s).sum::<f64>() / held.len().max(1) as f64;
-        let most = (held.len() as f64 * self.cfg.eject_share) as usize;
-        let mut out = held.iter().filter(|(out, _)| *out).count();
-        for minion in self.minions.values_mut() {
-            if out >= most || minion.health.out(now) {
-                continue;
-            }
-            if minion.health.bad(usual, &self.cfg) {
-                let span = minion.health.eject(now, &self.cfg);
-                let id = minion.info.id.clone();
-                self.actions.push(Action::Ejected(id, span));
-                out += 1;
-            }
-        }
-    }
-
-    /// Starts what fits, in the order of the jobs.
-    pub(crate) fn place(&mut self, now: Timestamp) {
-        self.queue
-            .retain(|id| self.jobs.get(id).is_some_and(Job::waits));
-        if self.queue.is_empty() || self.frozen {
-            return;
-        }
-        let jobs = &self.jobs;
-        self.queue
-            .sort_by_cached_key(|id| jobs.get(id).map(|j| rank(j, now)));
-        let mut rooms = Rooms::new(&self.minions, now);
-        let mut starts = Vec::new();
-        let mut blocked = 0;
-        for id in &self.queue {
-            if rooms.is_empty() {
-                break;
-            }
-            let Some(job) = self.jobs.get(id) else {
-                continue;
-            };
-            // Runs of an earlier submission must be over first.
-            if self.leftover(job) {
-                continue;
-            }
-            let tightness = job.tightness(now);
-            for index in job.runnable() {
-                let step = &job.spec.steps[usize::from(job.tasks[index].step)];
-                match rooms.take(step, &job.spec.service, tightness) {
-                    Some(minion) => starts.push((id.clone(), index, minion)),
-                    None => {
-                        if blocked < RESERVATIONS {
-                            rooms.reserve(step, &job.spec.service);
-                        }
-                        blocked += 1;
-                        break;
-                    }
-                }
-            }
-        }
-        for (id, index, minion) in starts {
-            self.start(&id, index, &minion, now);
-        }
-    }
-
-    /// Tells whether runs of an earlier submission of the job may go on.
-    fn leftover(&self, job: &Job) -> bool {
-        if job.started {
-            return false;
-        }
-        let id = &job.spec.id;
-        let runs = self.minions.values().flat_map(|m| &m.runs);
-        runs.filter(|r| r.of.is_none() || r.stopping.is_some())
-            .any(|r| r.task.job().as_ref() == Some(id))
-    }
-
-    fn start(&mut self, id: &JobId, index: usize, on: &MinionId, now: Timestamp) {
-        let (usual, expected) = self.run_time(id, index, on);
-        let (Some(job), Some(minion)) = (self.jobs.get_mut(id), self.minions.get_mut(on)) else {
-            return;
-        };
-        let Some(clock) = minion.clock_at(now) else {
-            return;
-        };
-        let lease = clock.after(self.cfg.lease.0);
-        let task = &mut job.tasks[index];
-        task.state = TaskState::Placed;
-        task.run = RunNumber(task.run.0 + 1);
-        job.started = true;
-        job.last_start = now;
-        minion.leased = now;
-        minion.runs.push(Run {
-            task: task.name.clone(),
-            number: task.run,
-            of: Some((id.clone(), index)),
-            need: Some(job.spec.steps[usize::from(task.step)].need),
-            phase: Phase::Starting,
-            sent: now,
-            usual,
-            expected,
-            accepted: None,
-            latest: lease,
-            stopping: None,
-            stopped: None,
-        });
-        self.actions.push(Action::Start(StartOrder {
-            minion: on.clone(),
-            addr: minion.info.addr,
-            fence: minion.fence,
-            task: task.name.clone(),
-            run: task.run,
-            payload: job.spec.payload.clone(),
-            lease,
-        }));
-    }
-
-    /// Orders a run to stop. Its room stays taken until a list shows it gone.
-    pub(crate) fn stop(&mut self, on: &MinionId, task: &TaskName, run: RunNumber, now: Timestamp) {
-        let Some(minion) = self.minions.get_mut(on) else {
-            return;
-        };
-        let order = StopOrder {
-            minion: on.clone(),
-            addr: minion.info.addr,
-            fence: minion.fence,
-            task: task.clone(),
-            run,
-        };
-        if let Some(run) = minion.run_mut(task, run) {
-            run.stopping = Some(now);
-            self.actions.push(Action::Stop(order));
-        }
-    }
-
     /// Ends a job towards its caller and stops its runs.
     pub(crate) fn settle(&mut self, id: &JobId, outcome: Outcome, now: Timestamp) {
         if let Some(summary) = self.close(id, now) {
@@ -527,7 +231,7 @@
     }
 
     /// Forgets a job and stops its runs.
-    fn close(&mut self, id: &JobId, now: Timestamp) -> Option<Summary> {
+    pub(crate) fn close(&mut self, id: &JobId, now: Timestamp) -> Option<Summary> {
         let job = self.jobs.remove(id)?;
         let past = Past {
             last: job.last_run(),
@@ -601,43 +305,4 @@
             self.requeue(run);
         }
     }
-
-    /// Learns from a run that took `ratio` times its estimate on a minion of
-    /// the given slowness.
-    pub(crate) fn learn(&mut self, queue: &CompactString, ratio: f64) {
-        let mean = self.ratios.entry(queue.clone()).or_insert(1.0);
-        *mean += LEARN_WEIGHT * (ratio.clamp(0.2, 5.0) - *mean);
-    }
-
-    pub(crate) fn ratio(&self, queue: &CompactString) -> f64 {
-        self.ratios.get(queue).copied().unwrap_or(1.0)
-    }
-
-    /// Returns how long the job takes once all its tasks can start.
-    pub(crate) fn expected(&self, spec: &JobSpec) -> Millis {
-        let path = spec.critical_path().0 as f64;
-        Millis((path * self.ratio(&spec.queue) * SLOWEST_TASK) as u64)
-    }
-
-    /// Returns how long a task takes on a usual minion and on this one.
-    fn run_time(&self, id: &JobId, index: usize, on: &MinionId) -> (Millis, Millis) {
-        let (Some(job), Some(minion)) = (self.jobs.get(id), self.minions.get(on)) else {
-            return (Millis(0), Millis(0));
-        };
-        let step = &job.spec.steps[usize::from(job.tasks[index].step)];
-        let time = step.estimate.0 as f64 * self.ratio(&job.spec.queue);
-        let here = time * minion.health.pace.clamp(0.5, 3.0);
-        (Millis(time as u64), Millis(here as u64))
-    }
-
-    /// Returns the core milliseconds of a job's tasks that wait.
-    fn waiting_work(&self, job: &Job) -> f64 {
-        let ratio = self.ratio(&job.spec.queue);
-        let waiting = job.tasks.iter().filter(|t| t.state == TaskState::Waiting);
-        let work = waiting.map(|t| {
-            let step = &job.spec.steps[usize::from(t.step)];
-            f64::from(step.need.cpu.0) / 1000.0 * step.estimate.0 as f64
-        });
-        work.sum::<f64>() * ratio
-    }
 }
--- /dev/null
+++ b/components/schedule/src/start.rs
@@ -0,0 +1,130 @@
+//! Which tasks start now, and the orders to start and stop them.
+
+use kernel::{MinionId, RunNumber, Timestamp};
+
+use crate::action::{Action, StartOrder, StopOrder};
+use crate::ids::{JobId, TaskName};
+use crate::job::{Job, TaskState};
+use crate::order::rank;
+use crate::place::Rooms;
+use crate::run::{Phase, Run};
+use crate::scheduler::Scheduler;
+
+/// How many blocked jobs keep a minion free for themselves; more would idle
+/// room that others can use.
+const RESERVATIONS: usize = 2;
+
+impl Scheduler {
+    /// Starts what fits, in the order of the jobs.
+    pub(crate) fn place(&mut self, now: Timestamp) {
+        self.queue
+            .retain(|id| self.jobs.get(id).is_some_and(Job::waits));
+        if self.queue.is_empty() || self.frozen {
+            return;
+        }
+        let jobs = &self.jobs;
+        self.queue
+            .sort_by_cached_key(|id| jobs.get(id).map(|j| rank(j, now)));
+        let mut rooms = Rooms::new(&self.minions, now);
+        let mut starts = Vec::new();
+        let mut blocked = 0;
+        for id in &self.queue {
+            if rooms.is_empty() {
+                break;
+            }
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            // Runs of an earlier submission must be over first.
+            if self.leftover(job) {
+                continue;
+            }
+            let tightness = job.tightness(now);
+            for index in job.runnable() {
+                let step = &job.spec.steps[usize::from(job.tasks[index].step)];
+                match rooms.take(step, &job.spec.service, tightness) {
+                    Some(minion) => starts.push((id.clone(), index, minion)),
+                    None => {
+                        if blocked < RESERVATIONS {
+                            rooms.reserve(step, &job.spec.service);
+                        }
+                        blocked += 1;
+                        break;
+                    }
+                }
+            }
+        }
+        for (id, index, minion) in starts {
+            self.start(&id, index, &minion, now);
+        }
+    }
+
+    /// Tells whether runs of an earlier submission of the job may go on.
+    fn leftover(&self, job: &Job) -> bool {
+        if job.started {
+            return false;
+        }
+        let id = &job.spec.id;
+        let runs = self.minions.values().flat_map(|m| &m.runs);
+        runs.filter(|r| r.of.is_none() || r.stopping.is_some())
+            .any(|r| r.task.job().as_ref() == Some(id))
+    }
+
+    fn start(&mut self, id: &JobId, index: usize, on: &MinionId, now: Timestamp) {
+        let (usual, expected) = self.run_time(id, index, on);
+        let (Some(job), Some(minion)) = (self.jobs.get_mut(id), self.minions.get_mut(on)) else {
+            return;
+        };
+        let Some(clock) = minion.clock_at(now) else {
+            return;
+        };
+        let lease = clock.after(self.cfg.lease);
+        let task = &mut job.tasks[index];
+        task.state = TaskState::Placed;
+        task.run = RunNumber(task.run.0 + 1);
+        job.started = true;
+        job.last_start = now;
+        minion.leased = now;
+        minion.runs.push(Run {
+            task: task.name.clone(),
+            number: task.run,
+            of: Some((id.clone(), index)),
+            need: Some(job.spec.steps[usize::from(task.step)].need),
+            phase: Phase::Starting,
+            sent: now,
+            usual,
+            expected,
+            accepted: None,
+            latest: lease,
+            stopping: None,
+            stopped: None,
+        });
+        self.actions.push(Action::Start(StartOrder {
+            minion: on.clone(),
+            addr: minion.info.addr,
+            fence: minion.fence,
+            task: task.name.clone(),
+            run: task.run,
+            payload: job.spec.payload.clone(),
+            lease,
+        }));
+    }
+
+    /// Orders a run to stop. Its room stays taken until a list shows it gone.
+    pub(crate) fn stop(&mut self, on: &MinionId, task: &TaskName, run: RunNumber, now: Timestamp) {
+        let Some(minion) = self.minions.get_mut(on) else {
+            return;
+        };
+        let order = StopOrder {
+            minion: on.clone(),
+            addr: minion.info.addr,
+            fence: minion.fence,
+            task: task.clone(),
+            run,
+        };
+        if let Some(run) = minion.run_mut(task, run) {
+            run.stopping = Some(now);
+            self.actions.push(Action::Stop(order));
+        }
+    }
+}
--- /dev/null
+++ b/components/schedule/src/tick.rs
@@ -0,0 +1,129 @@
+//! What a scheduler does as time passes: jobs that are too late, runs that hang,
+//! stops that got lost, minions that fail.
+
+use kernel::{Millis, Timestamp};
+
+use crate::action::Action;
+use crate::job::{Job, Outcome};
+use crate::minion::{Grip, Minion};
+use crate::order::late;
+use crate::scheduler::Scheduler;
+
+impl Scheduler {
+    /// Does what time asks for. To be called every few tens of milliseconds.
+    pub fn tick(&mut self, now: Timestamp) {
+        if self.frozen {
+            return;
+        }
+        self.expire(now);
+        self.judge_runs(now);
+        self.eject(now);
+        let memory = self.cfg.memory;
+        self.past.retain(|_, p| now.since(p.ended) < memory);
+        self.place(now);
+    }
+
+    /// Ends jobs that can't be answered in time any more.
+    fn expire(&mut self, now: Timestamp) {
+        let slack = self.cfg.reply_slack;
+        let part = self.cfg.refuse_part;
+        let held = |m: &Minion| m.grip == Grip::Held && !m.info.draining;
+        let served = self.minions.values().any(held);
+        let mut over = Vec::new();
+        for (id, job) in &self.jobs {
+            if now.after(slack) >= job.deadline {
+                over.push((id.clone(), self.gone(job)));
+                continue;
+            }
+            let waited = now.micros_since(job.arrived);
+            let patient = (waited as f64) < part * job.spec.objective.micros() as f64;
+            if !job.started && (!served || !patient && late(job, now)) {
+                over.push((id.clone(), self.gone(job)));
+            }
+        }
+        for (id, outcome) in over {
+            self.settle(&id, outcome, now);
+        }
+    }
+
+    fn gone(&self, job: &Job) -> Outcome {
+        if job.started {
+            return Outcome::Expired;
+        }
+        let load = self.queue.iter().filter_map(|id| self.jobs.get(id));
+        let work: f64 = load.map(|j| self.waiting_work(j)).sum();
+        let minions = self.minions.values().filter(|m| m.grip == Grip::Held);
+        let cores: f64 = minions.map(|m| f64::from(m.info.capacity.cpu.0)).sum();
+        Outcome::Refused {
+            retry: Millis((work * 1000.0 / cores.max(1000.0)) as u64),
+        }
+    }
+
+    /// Looks for runs that hang, stops that got lost, and runs of silent
+    /// minions whose leases have lapsed.
+    fn judge_runs(&mut self, now: Timestamp) {
+        let cfg = self.cfg.clone();
+        let mut stops = Vec::new();
+        let mut over = Vec::new();
+        for minion in self.minions.values_mut() {
+            let lapsed = minion.lapsed(now, &cfg);
+            for run in &mut minion.runs {
+                if lapsed {
+                    over.push((minion.info.id.clone(), run.task.clone(), run.number));
+                    continue;
+                }
+                let limit = run.expected.0 as f64 * cfg.hang_factor + cfg.hang_slack.0 as f64;
+                // Its end may wait on a hold whose answer got lost, so only a
+                // list that still has the run shows that it hangs.
+                let shown = minion.listed.since(run.sent);
+                let hangs = run.of.is_some() && shown.0 as f64 > limit;
+                if hangs && run.stopping.is_none() {
+                    minion.health.failed();
+                    let hung = Action::Hung(minion.info.id.clone(), run.task.clone(), run.number);
+                    self.actions.push(hung);
+                    stops.push((minion.info.id.clone(), run.task.clone(), run.number));
+                }
+                let again = run
+                    .stopping
+                    .is_some_and(|at| now.since(at) >= cfg.stop_retry);
+                if again {
+                    stops.push((minion.info.id.clone(), run.task.clone(), run.number));
+                }
+            }
+        }
+        for (id, task, number) in stops {
+            self.stop(&id, &task, number, now);
+        }
+        for (id, task, number) in over {
+            let run = self
+                .minions
+                .get_mut(&id)
+                .and_then(|m| m.remove(&task, number));
+            if let Some(run) = run {
+                self.requeue(&run);
+            }
+        }
+    }
+
+    /// Leaves out minions that fail or crawl, but never most of them.
+    fn eject(&mut self, now: Timestamp) {
+        let held = self.minions.values().filter(|m| m.grip == Grip::Held);
+        let held: Vec<_> = held
+            .map(|m| (m.health.out(now), m.health.slowness))
+            .collect();
+        let usual = held.iter().map(|(_, s)| s).sum::<f64>() / held.len().max(1) as f64;
+        let most = (held.len() as f64 * self.cfg.eject_share) as usize;
+        let mut out = held.iter().filter(|(out, _)| *out).count();
+        for minion in self.minions.values_mut() {
+            if out >= most || minion.health.out(now) {
+                continue;
+            }
+            if minion.health.bad(usual, &self.cfg) {
+                let span = minion.health.eject(now, &self.cfg);
+                let id = minion.info.id.clone();
+                self.actions.push(Action::Ejected(id, span));
+                out += 1;
+            }
+        }
+    }
+}
--- a/components/schedule/src/transfer.rs
+++ b/components/schedule/src/transfer.rs
@@ -1,10 +1,10 @@
 //! A scheduler's state on its way to the next owner, so that a planned stop
 //! costs no job.
 
-use kernel::{Millis, MinionId, Timestamp};
+use kernel::{Fence, LeaseTime, Millis, MinionId, RunNumber, Timestamp};
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Fence, JobId, LeaseTime, RunNumber, TaskName};
+use crate::ids::{JobId, TaskName};
 use crate::job::{Job, JobSpec, TaskState};
 use crate::minion::{Minion, MinionInfo};
 use crate::resources::Resources;
