The largest of several VMs that take a shard together keeps it

Change: between equal epochs the larger share wins; VMs listen 500 ms again. Test: larger_claim in takeover.rs.

--- a/components/ownership/src/beat.rs
+++ b/components/ownership/src/beat.rs
@@ -31,7 +31,10 @@
     pub home: bool,
     /// How often the shard has changed hands.
     pub epoch: Epoch,
-    /// The owner's address, which decides between equal epochs.
+    /// The owner's share of a processor: of VMs that take a shard together at a
+    /// cold start the largest keeps it.
+    pub share: u32,
+    /// The owner's address, which decides between equals.
     pub addr: SocketAddr,
 }
 
@@ -40,6 +43,7 @@
     pub fn beats(&self, other: &Claim) -> bool {
         let order = self.home.cmp(&other.home);
         let order = order.then(self.epoch.cmp(&other.epoch));
+        let order = order.then(self.share.cmp(&other.share));
         order.then(self.addr.cmp(&other.addr)) == Ordering::Greater
     }
 }
--- a/components/ownership/src/config.rs
+++ b/components/ownership/src/config.rs
@@ -15,7 +15,7 @@
     /// How long a VM that owns nothing is taken for alive without a beat.
     pub idle_silence: Millis,
     /// How long a new VM listens before it takes a shard. VMs answer a new one
-    /// at once.
+    /// at once, but the smallest take some hundred milliseconds to start.
     pub listen: Millis,
     /// How much later each next candidate takes a shard without owner, so that
     /// the first one's beat arrives before.
@@ -35,7 +35,7 @@
             idle_beat: Millis(500),
             silence: Millis(450),
             idle_silence: Millis(2_200),
-            listen: Millis(250),
+            listen: Millis(500),
             stagger: Millis(150),
             abroad: Millis(1_500),
             forget: Millis(30_000),
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -247,6 +247,7 @@
         let claim = Claim {
             home: self.me.domain == shard.domain,
             epoch: *epoch,
+            share: self.me.share,
             addr: self.me.addr,
         };
         self.vacant.remove(shard);
--- a/components/ownership/tests/takeover.rs
+++ b/components/ownership/tests/takeover.rs
@@ -46,6 +46,7 @@
     Claim {
         home: from.domain.as_str() == "suva-a",
         epoch: Epoch(epoch),
+        share: from.share,
         addr: from.addr,
     }
 }
@@ -138,6 +139,20 @@
     assert!(!peers.owns(&shard()));
 }
 
+#[test]
+fn larger_claim() {
+    // At a cold start several VMs take a shard before they hear each other. The
+    // smallest must not keep it for its address.
+    let (me, other) = (
+        vm("10.0.0.9:1", "suva-a", 120),
+        vm("10.0.0.2:1", "suva-a", 500),
+    );
+    let mut peers = Peers::new(OwnershipConfig::default(), me, at(0));
+    peers.accept(&shard());
+    let changes = peers.hear(beat(other.clone(), Some(claim(&other, 1))), at(10));
+    assert_eq!(changes, [Change::Yielded(shard(), other.addr)]);
+}
+
 #[test]
 fn home_claim() {
     let (me, other) = (
