--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -191,11 +191,6 @@
         self.core.metrics.clone()
     }
 
-    /// Returns the shards that this VM owns.
-    pub fn shards(&self) -> Vec<Shard> {
-        self.core.owned.load().keys().cloned().collect()
-    }
-
     /// Hands this VM's shards over and waits until callers have gone elsewhere.
     /// Until the program ends it goes on answering those that come.
     pub async fn leave(&self) {
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use kernel::{Domain, Epoch, HashMap, Timestamp, key_hash};
+use kernel::{Epoch, HashMap, Timestamp, key_hash};
 use schedule::Load;
 
 use crate::beat::{Beat, Claim, Report, VmInfo};
@@ -350,16 +350,6 @@
     pub fn owns(&self, shard: &Shard) -> bool {
         self.mine.contains_key(shard)
     }
-
-    /// Returns the domains that any VM is in.
-    pub fn domains(&self) -> Vec<Domain> {
-        let infos = self.peers.values().filter_map(|p| p.info.as_ref());
-        let mut all: Vec<_> = infos.map(|i| i.domain.clone()).collect();
-        all.push(self.me.domain.clone());
-        all.sort();
-        all.dedup();
-        all
-    }
 }
 
 /// Ranks a VM as a shard's owner: those of its domain first, then the largest;
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -1,7 +1,7 @@
 //! The scheduler: jobs and minions under one owner.
 
 use compact_str::CompactString;
-use kernel::{Fence, HashMap, LeaseTime, Millis, MinionId, RunNumber, Timestamp};
+use kernel::{Fence, HashMap, LeaseTime, MinionId, RunNumber, Timestamp};
 use serde::{Deserialize, Serialize};
 
 use crate::action::Action;
@@ -26,13 +26,6 @@
     pub waiting: f64,
 }
 
-impl Load {
-    /// Returns how long the waiting tasks need.
-    pub fn wait(&self) -> Millis {
-        Millis((self.waiting / self.cores.max(1.0)) as u64)
-    }
-}
-
 /// The run numbers given out for a job that has ended.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Past {
@@ -130,11 +123,6 @@
         self.jobs.values().filter(|j| !j.started).count()
     }
 
-    /// Returns how many jobs are here.
-    pub fn job_count(&self) -> usize {
-        self.jobs.len()
-    }
-
     /// Tells how busy the shard is.
     pub fn load(&self, now: Timestamp) -> Load {
         let mut load = Load::default();
