--- a/components/engine/src/config.rs
+++ b/components/engine/src/config.rs
@@ -1,6 +1,6 @@
 //! The engine's settings.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use kernel::{Domain, Millis};
 use ownership::OwnershipConfig;
@@ -10,9 +10,12 @@
 /// What an engine is started with.
 #[derive(Debug, Clone)]
 pub struct EngineConfig {
-    /// Where calls of other VMs are taken.
+    /// Where other VMs call this one.
     pub peers: SocketAddr,
-    /// The port of beats, over UDP, on the same address.
+    /// The address that their calls and beats arrive at, which differs from the
+    /// former's behind a relay.
+    pub listen: IpAddr,
+    /// The port of beats, over UDP.
     pub beats: u16,
     /// The failure domain.
     pub domain: Domain,
--- a/components/engine/tests/planned_stop.rs
+++ b/components/engine/tests/planned_stop.rs
@@ -32,7 +32,7 @@
     }
     // Nothing was started a second time.
     assert_eq!(site.starts(), 4);
-    assert_eq!(site.broken(), Vec::<String>::new());
+    assert_eq!(site.broken(), []);
 }
 
 #[tokio::test]
@@ -59,5 +59,5 @@
     eventually("configuration read", || b.ready()).await;
     assert_eq!(b.submit(job(1, 2, 30)).await, Outcome::Completed);
     leaving.await.unwrap();
-    assert_eq!(site.broken(), Vec::<String>::new());
+    assert_eq!(site.broken(), []);
 }
--- a/components/engine/tests/takeover.rs
+++ b/components/engine/tests/takeover.rs
@@ -34,5 +34,5 @@
     eventually("shard taken over", || b.owns()).await;
     assert_eq!(call.await.unwrap(), Outcome::Completed);
     assert_eq!(site.starts(), 4);
-    assert_eq!(site.broken(), Vec::<String>::new());
+    assert_eq!(site.broken(), []);
 }
--- a/components/engine/tests/whole_path.rs
+++ b/components/engine/tests/whole_path.rs
@@ -12,7 +12,7 @@
     eventually("shard taken", || a.owns()).await;
     assert_eq!(a.submit(job(1, 8, 30)).await, Outcome::Completed);
     assert_eq!(site.starts(), 8);
-    assert_eq!(site.broken(), Vec::<String>::new());
+    assert_eq!(site.broken(), []);
 }
 
 #[tokio::test]
@@ -27,7 +27,7 @@
     .await;
     let (x, y) = tokio::join!(a.submit(job(1, 4, 30)), b.submit(job(2, 4, 30)));
     assert_eq!((x, y), (Outcome::Completed, Outcome::Completed));
-    assert_eq!(site.broken(), Vec::<String>::new());
+    assert_eq!(site.broken(), []);
 }
 
 #[tokio::test]
--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -1,6 +1,6 @@
-//! A model of minions and of the network between them and their owners. It
-//! counts what the platform's rules count, from the minions' own state, so that
-//! a wrong belief of a scheduler shows.
+//! Leased minions and a model of the network between them and their owners.
+//! Broken rules are counted from the minions' own state, so that a wrong belief
+//! of a scheduler shows.
 
 #![allow(dead_code, missing_docs)]
 
@@ -10,16 +10,11 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use schedule::{
-    Action, End, EndKind, Fence, Gpus, Heard, HoldOrder, JobId, JobSpec, LeaseTime, Listing,
-    Mebibytes, MilliCores, MinionInfo, Outcome, Resources, RunNumber, ScheduleConfig, Scheduler,
-    StartOrder, StartReply, Step, StopOrder, TaskName,
+    Action, Fence, Gpus, Heard, HoldOrder, JobId, JobSpec, LeaseTime, Listing, Mebibytes,
+    MilliCores, MinionInfo, Outcome, Resources, RunNumber, ScheduleConfig, Scheduler, StartOrder,
+    StartReply, Step, StopOrder, TaskName,
 };
-
-/// How long a stop takes at a model minion, in milliseconds.
-const STOP_TIME: u64 = 50;
-
-/// The longest lease that a model minion grants, in milliseconds.
-const LEASE_MOST: u64 = 1_000;
+use standins::{LeasedMinion, Work, breaches};
 
 pub fn cores(count: u32) -> Resources {
     Resources {
@@ -71,176 +66,6 @@
     }
 }
 
-#[derive(Debug, Clone)]
-struct ModelRun {
-    need: Resources,
-    ends: u64,
-    /// When a stop will have ended it.
-    stops: Option<u64>,
-}
-
-/// A minion as the platform describes it.
-#[derive(Debug)]
-pub struct Model {
-    pub info: MinionInfo,
-    fence: u64,
-    lease: u64,
-    started: u64,
-    running: BTreeMap<(TaskName, RunNumber), ModelRun>,
-    over: BTreeMap<TaskName, RunNumber>,
-    ended: Vec<End>,
-    count: u64,
-    pub fail_all: bool,
-    pub slowness: f64,
-}
-
-impl Model {
-    pub fn new(info: MinionInfo) -> Model {
-        Model {
-            info,
-            fence: 0,
-            lease: 0,
-            started: 0,
-            running: BTreeMap::new(),
-            over: BTreeMap::new(),
-            ended: Vec::new(),
-            count: 0,
-            fail_all: false,
-            slowness: 1.0,
-        }
-    }
-
-    fn clock(&self, now: u64) -> LeaseTime {
-        LeaseTime(now - self.started)
-    }
-
-    fn end(&mut self, key: &(TaskName, RunNumber), kind: EndKind) {
-        self.running.remove(key);
-        self.count += 1;
-        let last = self.over.entry(key.0.clone()).or_default();
-        *last = (*last).max(key.1);
-        self.ended.push(End {
-            number: self.count,
-            task: key.0.clone(),
-            run: key.1,
-            kind,
-        });
-    }
-
-    /// Returns what runs.
-    pub fn running(&self) -> Vec<(TaskName, RunNumber)> {
-        self.running.keys().cloned().collect()
-    }
-
-    /// Returns the highest token seen.
-    pub fn fence(&self) -> Fence {
-        Fence(self.fence)
-    }
-
-    /// Lets time pass.
-    pub fn advance(&mut self, now: u64) {
-        let clock = self.clock(now).0;
-        let lapsed = clock > self.lease;
-        let stopped = |run: &ModelRun| run.stops.is_some_and(|at| now >= at);
-        let due = |run: &ModelRun| lapsed || now >= run.ends || stopped(run);
-        let over: Vec<_> = self.running.iter().filter(|(_, r)| due(r)).collect();
-        let over: Vec<_> = over
-            .iter()
-            .map(|(k, r)| ((*k).clone(), now >= r.ends, stopped(r)))
-            .collect();
-        for (key, done, stopped) in over {
-            let kind = match (done, stopped, self.fail_all) {
-                (false, true, _) => EndKind::Stopped,
-                (false, false, _) => EndKind::Lapsed,
-                (true, _, false) => EndKind::Done,
-                (true, _, true) => EndKind::Failed,
-            };
-            self.end(&key, kind);
-        }
-    }
-
-    pub fn reborn(&mut self, now: u64) {
-        let mut info = self.info.clone();
-        info.born += 1;
-        *self = Model::new(info);
-        self.started = now;
-    }
-
-    fn renew(&mut self, until: u64, now: u64) {
-        let most = self.clock(now).0 + LEASE_MOST;
-        self.lease = self.lease.max(until.min(most));
-    }
-
-    pub fn start(
-        &mut self,
-        order: &StartOrder,
-        need: Resources,
-        span: u64,
-        now: u64,
-    ) -> StartReply {
-        let clock = self.clock(now);
-        if order.fence.0 < self.fence {
-            return StartReply::Fenced;
-        }
-        self.fence = order.fence.0;
-        let key = (order.task.clone(), order.run);
-        if self.running.contains_key(&key) {
-            return StartReply::Accepted(clock);
-        }
-        if clock > order.lease {
-            return StartReply::Late(clock);
-        }
-        self.renew(order.lease.0, now);
-        if self
-            .over
-            .get(&order.task)
-            .is_some_and(|last| order.run <= *last)
-        {
-            return StartReply::Old(clock);
-        }
-        let span = (span as f64 * self.slowness) as u64;
-        let run = ModelRun {
-            need,
-            ends: now + span,
-            stops: None,
-        };
-        self.running.insert(key, run);
-        StartReply::Accepted(clock)
-    }
-
-    pub fn stop(&mut self, order: &StopOrder, now: u64) -> Option<LeaseTime> {
-        if order.fence.0 < self.fence {
-            return None;
-        }
-        self.fence = order.fence.0;
-        let key = (order.task.clone(), order.run);
-        if let Some(run) = self.running.get_mut(&key) {
-            run.stops = run.stops.or(Some(now + STOP_TIME));
-        } else {
-            let last = self.over.entry(order.task.clone()).or_default();
-            *last = (*last).max(order.run);
-        }
-        Some(self.clock(now))
-    }
-
-    pub fn hold(&mut self, order: &HoldOrder, now: u64) -> Option<Listing> {
-        if order.fence.0 < self.fence {
-            return None;
-        }
-        self.fence = order.fence.0;
-        if let Some(until) = order.lease {
-            self.renew(until.0, now);
-        }
-        self.ended.retain(|e| e.number > order.seen);
-        Some(Listing {
-            clock: self.clock(now),
-            born: self.info.born,
-            running: self.running.keys().cloned().collect(),
-            ended: self.ended.clone(),
-        })
-    }
-}
-
 /// Something on its way.
 #[derive(Debug)]
 enum Message {
@@ -270,14 +95,14 @@
     pub now: u64,
     pub owners: Vec<Scheduler>,
     pub frozen: Vec<bool>,
-    pub minions: BTreeMap<MinionId, Model>,
+    pub minions: BTreeMap<MinionId, LeasedMinion>,
     pub faults: Faults,
     pub outcomes: Vec<(u64, JobId, Outcome)>,
     pub starts: u64,
     pub broken: Vec<String>,
     /// What the minions were told, for traces.
     pub told: Vec<String>,
-    needs: BTreeMap<JobId, (Resources, u64)>,
+    works: BTreeMap<JobId, Work>,
     queue: BTreeMap<(u64, u64), Message>,
     serial: u64,
     token: u64,
@@ -296,7 +121,7 @@
             starts: 0,
             broken: Vec::new(),
             told: Vec::new(),
-            needs: BTreeMap::new(),
+            works: BTreeMap::new(),
             queue: BTreeMap::new(),
             serial: 0,
             token: 1,
@@ -304,7 +129,9 @@
         };
         for (i, size) in sizes.iter().enumerate() {
             let info = minion(&format!("m-{i:02}"), *size);
-            world.minions.insert(info.id.clone(), Model::new(info));
+            world
+                .minions
+                .insert(info.id.clone(), LeasedMinion::new(info));
         }
         for _ in 0..owners {
             world.owners.push(Scheduler::new(ScheduleConfig::default()));
@@ -407,8 +234,12 @@
 
     /// Submits a job whose tasks take `span`.
     pub fn submit(&mut self, owner: usize, spec: JobSpec, span: u64) -> schedule::Admission {
-        self.needs
-            .insert(spec.id.clone(), (spec.steps[0].need, span));
+        let work = Work {
+            cpu: spec.steps[0].need.cpu,
+            span: Millis(span),
+            fails: false,
+        };
+        self.works.insert(spec.id.clone(), work);
         let time = self.time();
         let admission = self.owners[owner].submit(time, spec);
         self.perform(owner);
@@ -431,9 +262,9 @@
         let time = self.time();
         match message {
             Message::Start(owner, order) => {
-                let (need, span) = self.needs[&order.task.job().unwrap()];
+                let work = self.works[&order.task.job().unwrap()];
                 let model = self.minions.get_mut(&order.minion).unwrap();
-                let reply = model.start(&order, need, span, now);
+                let reply = model.start(&order, work, now);
                 self.starts += 1;
                 self.told
                     .push(format!("{now}: start {order:?} by {owner}: {reply:?}"));
@@ -542,20 +373,9 @@
 
     /// Counts broken rules as the minions see them.
     fn check(&mut self) {
-        let mut tasks = BTreeMap::new();
-        for model in self.minions.values() {
-            let mut used = Resources::default();
-            for ((task, run), state) in &model.running {
-                used = used.with(&state.need);
-                if let Some(other) = tasks.insert(task.clone(), *run) {
-                    let text = format!("{}: {task} runs as {run} and {other}", self.now);
-                    self.broken.push(text);
-                }
-            }
-            if !used.fits(&model.info.capacity) {
-                let text = format!("{}: {} holds {used}", self.now, model.info.id);
-                self.broken.push(text);
-            }
-        }
+        let broken = breaches(self.minions.values());
+        let now = self.now;
+        let told = broken.iter().map(|b| format!("{now}: {b}"));
+        self.broken.extend(told);
     }
 }
--- /dev/null
+++ b/components/soak/src/lib.rs
@@ -0,0 +1,1 @@
+//! Random faults on real VM processes.
--- a/components/standins/src/listener.rs
+++ b/components/standins/src/listener.rs
@@ -23,7 +23,7 @@
 
 /// Closes the connection in place of an answer.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct HangUp;
+pub struct HangUp;
 
 impl fmt::Display for HangUp {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -34,7 +34,7 @@
 impl std::error::Error for HangUp {}
 
 /// Answers requests, or closes their connection.
-pub(crate) trait Serve: Clone + Send + Sync + 'static {
+pub trait Serve: Clone + Send + Sync + 'static {
     /// Answers one request. It is dropped when the other side closes.
     fn serve(
         &self,
@@ -43,6 +43,7 @@
 }
 
 /// An open connection.
+#[derive(Debug)]
 struct Conn {
     /// Ends the connection's task.
     task: AbortHandle,
@@ -51,7 +52,7 @@
 }
 
 /// What is open on an address.
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct Open {
     /// Whether connections are taken.
     alive: bool,
@@ -60,7 +61,8 @@
 }
 
 /// A listener that can die and come back under its address.
-pub(crate) struct Listener {
+#[derive(Debug)]
+pub struct Listener {
     /// The bound address.
     addr: SocketAddr,
     /// What is open.
@@ -74,7 +76,11 @@
 
 impl Listener {
     /// Binds an address and serves it.
-    pub(crate) async fn bind<S: Serve>(addr: SocketAddr, service: S) -> io::Result<Listener> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be bound.
+    pub async fn bind<S: Serve>(addr: SocketAddr, service: S) -> io::Result<Listener> {
         let socket = TcpListener::bind(addr).await?;
         let listener = Listener {
             addr: socket.local_addr()?,
@@ -86,12 +92,12 @@
     }
 
     /// Returns the bound address.
-    pub(crate) fn addr(&self) -> SocketAddr {
+    pub fn addr(&self) -> SocketAddr {
         self.addr
     }
 
     /// Closes the listener and breaks every connection.
-    pub(crate) fn kill(&self) {
+    pub fn kill(&self) {
         let mut open = lock(&self.open);
         open.alive = false;
         if let Some(task) = lock(&self.accept).as_ref() {
@@ -103,7 +109,11 @@
     }
 
     /// Listens again after [`Listener::kill`].
-    pub(crate) async fn revive<S: Serve>(&self, service: S) -> io::Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when another process has taken the port meanwhile.
+    pub async fn revive<S: Serve>(&self, service: S) -> io::Result<()> {
         let ended = lock(&self.accept).take();
         if let Some(task) = ended {
             let _ = task.await;
@@ -114,7 +124,7 @@
     }
 
     /// Makes the connections that are open now silent for good.
-    pub(crate) fn silence(&self) {
+    pub fn silence(&self) {
         for conn in lock(&self.open).conns.drain(..) {
             conn.mute.store(true, Ordering::SeqCst);
         }
--- a/components/standins/src/net.rs
+++ b/components/standins/src/net.rs
@@ -88,6 +88,40 @@
         });
     }
 
+    /// Lets nothing get from one process to another, or ends that. A connection
+    /// that the first opened stands still both ways.
+    pub fn part(&self, from: &str, to: &str, on: bool) {
+        let pair = (from.into(), to.into());
+        self.change(|t| {
+            match on {
+                true => t.parted.insert(pair),
+                false => t.parted.remove(&pair),
+            };
+        });
+    }
+
+    /// Ends every fault but connections that have gone silent for good.
+    pub fn heal_all(&self) {
+        self.change(|t| {
+            *t = Table {
+                places: std::mem::take(&mut t.places),
+                silent: std::mem::take(&mut t.silent),
+                hops: t.hops,
+                ..Table::default()
+            };
+        });
+    }
+
+    /// Tells whether a datagram of this process gets to an address now.
+    pub(crate) fn passes(&self, to: SocketAddr) -> bool {
+        let link = Link {
+            from: self.origin.clone(),
+            to,
+            serial: u64::MAX,
+        };
+        self.table.borrow().open(&link)
+    }
+
     /// Refuses new connections to an address, or ends that.
     pub fn refuse(&self, addr: SocketAddr, on: bool) {
         self.change(|t| toggle(&mut t.refused, addr, on));
--- a/components/standins/src/respond.rs
+++ b/components/standins/src/respond.rs
@@ -8,14 +8,14 @@
 use serde::Serialize;
 
 /// Answers a status with an empty body.
-pub(crate) fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+pub fn empty(status: StatusCode) -> Response<Full<Bytes>> {
     let mut res = Response::default();
     *res.status_mut() = status;
     res
 }
 
 /// Answers a status with a JSON body.
-pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Full<Bytes>> {
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Full<Bytes>> {
     let Ok(text) = serde_json::to_vec(value) else {
         return empty(StatusCode::INTERNAL_SERVER_ERROR);
     };
--- a/components/standins/src/table.rs
+++ b/components/standins/src/table.rs
@@ -89,6 +89,8 @@
     pub(crate) stalled: HashSet<SocketAddr>,
     /// The addresses whose answers are lost with their connection.
     pub(crate) mute: HashSet<SocketAddr>,
+    /// The pairs of processes of which nothing gets from the first to the second.
+    pub(crate) parted: HashSet<(CompactString, CompactString)>,
     /// The first connection number that is not silent, by address.
     pub(crate) silent: HashMap<SocketAddr, u64>,
 }
@@ -112,10 +114,13 @@
         let Some(to) = self.places.get(&link.to) else {
             return false;
         };
-        self.paused.contains(&to.process) || self.parted(&from.site, &to.site)
+        let pair = (from.process.clone(), to.process.clone());
+        self.paused.contains(&to.process)
+            || self.parted.contains(&pair)
+            || self.apart(&from.site, &to.site)
     }
 
-    fn parted(&self, from: &Site, to: &Site) -> bool {
+    fn apart(&self, from: &Site, to: &Site) -> bool {
         match (from, to) {
             (Site::Domain(a), Site::Domain(b)) => a != b && (self.is_cut(a) || self.is_cut(b)),
             (Site::Domain(d), Site::Platform) | (Site::Platform, Site::Domain(d)) => self.is_cut(d),
