Random faults on real VM processes: pomeloctl faults

VM processes on loopback, relays, signals and the platform's stand-in; what callers were told is compared with what minions saw.

--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -1,1 +1,18 @@
-//! Random faults on real VM processes.
+//! Random faults on real VM processes, injected from outside: signals, relays
+//! between the processes, and stand-ins that misbehave. What callers and
+//! minions see decides whether a rule was broken (docs/design/soak.md).
+
+mod book;
+mod check;
+mod error;
+mod load;
+mod plan;
+mod play;
+mod process;
+mod site;
+
+pub use book::{Attempt, Book, Record};
+pub use check::{Fault, check};
+pub use error::SoakError;
+pub use plan::{Plan, Shape, Step, Trouble, Way};
+pub use play::{Options, Report, play};
--- /dev/null
+++ b/components/soak/src/site.rs
@@ -0,0 +1,509 @@
+//! A site on loopback: VM processes, the relays between them, and stand-ins for
+//! all else.
+
+use std::fs;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use kernel::{Domain, Gpus, HashMap, Mebibytes, MilliCores, Millis, MinionId, Service};
+use nix::sys::signal::Signal;
+use platform_standin::{
+    Door, MinionFace, OrderFaults, QueueRecord, StoreMode, StoreStandin, Topic, VmRecord,
+    configuration, minion, settings,
+};
+use schedule::{MinionInfo, Resources};
+use standins::{DatagramRelay, Endpoint, Hops, LeasedFleet, Net, Relay};
+
+use crate::error::SoakError;
+use crate::plan::{Shape, Trouble, Way};
+use crate::process::Process;
+
+/// How long a stopping process may take before it is killed, as the platform
+/// does it (`bounds.grace-s` of the settings).
+const GRACE: Duration = Duration::from_secs(6);
+
+/// The processors of a minion in cores; every fourth is larger.
+const CORES: [u32; 4] = [32, 32, 32, 48];
+
+/// How often a task may fail.
+const ATTEMPTS: u32 = 3;
+
+/// The one-way delay between domains while it is long.
+const LONG_HOP: Duration = Duration::from_millis(40);
+
+/// Counts the sites of this process, so that each has addresses of its own.
+static SITES: AtomicU32 = AtomicU32::new(0);
+
+/// A VM with its relays.
+pub(crate) struct Vm {
+    /// Its name.
+    pub name: String,
+    /// Where callers reach it.
+    pub front: SocketAddr,
+    /// Where it tells whether it is ready.
+    pub ready: SocketAddr,
+    process: Process,
+    door: Door,
+    /// Where others call it; the relay passes on to it.
+    called: Relay,
+    /// To the store and to each minion.
+    opened: Vec<Relay>,
+    _beats: DatagramRelay,
+    /// Until when it is not started again.
+    down: Option<Instant>,
+    /// When it is killed, as it was asked to stop.
+    kill: Option<Instant>,
+}
+
+/// Everything around the callers.
+pub(crate) struct Site {
+    /// The minions.
+    pub fleet: LeasedFleet,
+    /// The VMs.
+    pub vms: Vec<Vm>,
+    /// When each version was published, on the minions' clock.
+    pub versions: Vec<(u64, u64)>,
+    /// When minions announced that they leave, on their clock, by the step of
+    /// the plan.
+    pub drained: Vec<(usize, MinionId, u64)>,
+    /// VMs whose processes ended by themselves.
+    pub ended: Vec<usize>,
+    domains: Vec<Domain>,
+    ids: Vec<MinionId>,
+    faces: Vec<MinionFace>,
+    /// Those that have crashed or left.
+    away: Vec<bool>,
+    store: StoreStandin,
+    net: Net,
+    sequence: u64,
+}
+
+/// Returns the service that all minions run.
+fn service() -> Result<Service, SoakError> {
+    "quotes".parse().map_err(SoakError::Name)
+}
+
+/// Returns the queue that every version has.
+pub(crate) fn lasting_queue() -> Result<QueueRecord, SoakError> {
+    queue("lasting")
+}
+
+/// Returns the queue that only one version has.
+pub(crate) fn version_queue(version: u64) -> Result<QueueRecord, SoakError> {
+    queue(&format!("version-{version}"))
+}
+
+fn queue(name: &str) -> Result<QueueRecord, SoakError> {
+    Ok(QueueRecord {
+        name: name.to_owned(),
+        service: service()?,
+        attempts: ATTEMPTS,
+    })
+}
+
+/// Returns an address of loopback that only this site uses.
+fn address(site: u32, host: u8) -> Ipv4Addr {
+    let key = std::process::id().wrapping_mul(16).wrapping_add(site);
+    let [.., high, low] = key.to_be_bytes();
+    Ipv4Addr::new(127, 1 + high % 250, low, host)
+}
+
+/// The first host of VMs' own addresses, and of those where others call them.
+const VM_HOST: u8 = 1;
+const CALLED_HOST: u8 = 128;
+
+fn free_port(ip: Ipv4Addr) -> Result<u16, SoakError> {
+    let listener = TcpListener::bind((ip, 0)).and_then(|l| l.local_addr());
+    Ok(listener.map_err(SoakError::Bind)?.port())
+}
+
+impl Site {
+    /// Starts all stand-ins, and writes what the VMs need into a folder.
+    pub async fn start(shape: Shape, program: &Path, folder: &Path) -> Result<Site, SoakError> {
+        let site = SITES.fetch_add(1, Ordering::Relaxed);
+        let names = (0..shape.domains).map(|i| format!("d{i}").parse());
+        let domains: Result<Vec<Domain>, _> = names.collect();
+        let domains = domains.map_err(SoakError::Name)?;
+        let net = Net::new(Hops::default());
+        let store = StoreStandin::new();
+        let fleet = LeasedFleet::new(minions(&domains, shape.minions)?);
+        let mut whole = Site {
+            ids: fleet.infos().into_iter().map(|m| m.id).collect(),
+            fleet,
+            vms: Vec::new(),
+            versions: Vec::new(),
+            drained: Vec::new(),
+            ended: Vec::new(),
+            domains,
+            faces: Vec::new(),
+            away: vec![false; shape.domains * shape.minions],
+            store,
+            net,
+            sequence: 0,
+        };
+        whole.open_faces().await?;
+        whole.publish_configuration()?;
+        whole.beat();
+        let places = whole.place_vms(shape, site)?;
+        for place in &places {
+            let vm = whole.open_vm(place, &places, program, folder).await?;
+            whole.vms.push(vm);
+        }
+        for vm in &mut whole.vms {
+            vm.process.start()?;
+        }
+        Ok(whole)
+    }
+
+    async fn open_faces(&mut self) -> Result<(), SoakError> {
+        for (i, id) in self.ids.iter().enumerate() {
+            let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+            let face = MinionFace::start(self.fleet.clone(), id.clone(), addr, i as u64).await;
+            let face = face.map_err(SoakError::Bind)?;
+            let addr = face.addr();
+            self.fleet.change(id, |m, _| m.info.addr = addr);
+            let domain = self.fleet.infos()[i].domain.clone();
+            self.net
+                .register(addr, Endpoint::inside(&domain, id.as_str()));
+            self.faces.push(face);
+        }
+        Ok(())
+    }
+
+    fn place_vms(&self, shape: Shape, site: u32) -> Result<Vec<Place>, SoakError> {
+        let first = address(site, VM_HOST);
+        let peers = free_port(first)?;
+        let beats = free_port(first)?;
+        let mut places = Vec::new();
+        for i in 0..shape.vms {
+            let ip = address(site, VM_HOST + i as u8);
+            places.push(Place {
+                name: format!("vm-{i}"),
+                domain: self.domains[i % self.domains.len()].clone(),
+                ip,
+                called: address(site, CALLED_HOST + i as u8),
+                front: SocketAddr::from((ip, free_port(ip)?)),
+                ready: SocketAddr::from((ip, free_port(ip)?)),
+                peers,
+                beats,
+            });
+        }
+        for place in &places {
+            let end = Endpoint::inside(&place.domain, &place.name);
+            let calls = SocketAddr::from((place.called, peers));
+            let datagrams = SocketAddr::from((place.called, beats));
+            self.net.register(calls, end.clone());
+            self.net.register(datagrams, end);
+        }
+        Ok(places)
+    }
+
+    /// Opens a VM's relays and writes its settings.
+    async fn open_vm(
+        &self,
+        place: &Place,
+        all: &[Place],
+        program: &Path,
+        folder: &Path,
+    ) -> Result<Vm, SoakError> {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let own = Endpoint::inside(&place.domain, &place.name);
+        let net = self.net.at(own);
+        let door = self.store.open(any).await.map_err(SoakError::Bind)?;
+        self.net.register(door.addr(), Endpoint::platform());
+        let mut opened = vec![relay(any, door.addr(), &net).await?];
+        let store = opened[0].addr();
+        for face in &self.faces {
+            let relay = relay(any, face.addr(), &net).await?;
+            door.detour(face.addr(), relay.addr());
+            opened.push(relay);
+        }
+        let calls = SocketAddr::from((place.called, place.peers));
+        let own_calls = SocketAddr::from((place.ip, place.peers));
+        // Who calls can't be told from a connection, so only faults of the
+        // called one hold it up.
+        let called = relay(calls, own_calls, &self.net).await?;
+        let senders = all.iter().map(|p| {
+            let end = Endpoint::inside(&p.domain, &p.name);
+            (IpAddr::from(p.ip), self.net.at(end))
+        });
+        let senders: HashMap<IpAddr, Net> = senders.collect();
+        let datagrams = SocketAddr::from((place.called, place.beats));
+        let own_beats = SocketAddr::from((place.ip, place.beats));
+        let beats = DatagramRelay::start(datagrams, own_beats, senders).await;
+        let beats = beats.map_err(SoakError::Bind)?;
+        let seeds = all.iter().take(3);
+        let record = VmRecord {
+            name: place.name.clone(),
+            ip: place.ip,
+            domain: place.domain.clone(),
+            domains: self.domains.clone(),
+            front: place.front,
+            ready: place.ready,
+            peers: calls,
+            beats: place.beats,
+            seeds: seeds
+                .map(|p| SocketAddr::from((p.called, p.peers)))
+                .collect(),
+            store,
+        };
+        let path = folder.join(format!("{}.conf", place.name));
+        write(&path, &settings(&record))?;
+        let log = folder.join(format!("{}.jsonl", place.name));
+        Ok(Vm {
+            name: place.name.clone(),
+            front: place.front,
+            ready: place.ready,
+            process: Process::new(program, path, log),
+            door,
+            called,
+            opened,
+            _beats: beats,
+            down: None,
+            kill: None,
+        })
+    }
+
+    /// Publishes the next version, with a queue of its own.
+    fn publish_configuration(&mut self) -> Result<(), SoakError> {
+        let version = self.versions.last().map_or(1, |(v, _)| v + 3);
+        let queues = [lasting_queue()?, version_queue(version)?];
+        let record = configuration(version, &queues);
+        self.store.put(Topic::Operator, "config", &record);
+        self.versions.push((version, self.fleet.now()));
+        Ok(())
+    }
+
+    /// Returns the newest version.
+    pub fn version(&self) -> u64 {
+        self.versions.last().map_or(0, |(v, _)| *v)
+    }
+
+    /// Lets every minion that is there write its record.
+    pub fn beat(&mut self) {
+        for i in 0..self.ids.len() {
+            if !self.away[i] {
+                self.publish_minion(i);
+            }
+        }
+    }
+
+    fn publish_minion(&mut self, i: usize) {
+        self.sequence += 1;
+        let id = &self.ids[i];
+        let info = self.fleet.infos().into_iter().find(|m| m.id == *id);
+        if let Some(info) = info {
+            let record = minion(&info, self.sequence);
+            self.store.put(Topic::Register, id.as_str(), &record);
+        }
+    }
+
+    /// Returns how often a VM's process was started.
+    pub fn life(&self, vm: usize) -> u32 {
+        self.vms[vm].process.starts()
+    }
+
+    /// Starts processes again that are down for long enough, kills those that
+    /// don't stop, and notes those that have ended by themselves.
+    pub async fn tend(&mut self) -> Result<(), SoakError> {
+        let now = Instant::now();
+        for (i, vm) in self.vms.iter_mut().enumerate() {
+            if vm.process.runs() {
+                if vm.kill.is_some_and(|at| now >= at) {
+                    vm.process.kill().await;
+                }
+                continue;
+            }
+            let asked = vm.kill.is_some() || vm.down.is_some();
+            if !asked {
+                self.ended.push(i);
+            }
+            if vm.down.is_none_or(|until| now >= until) {
+                vm.kill = None;
+                vm.down = None;
+                vm.process.start()?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Kills all processes.
+    pub async fn kill_all(&mut self) {
+        for vm in &mut self.vms {
+            vm.process.kill().await;
+        }
+    }
+
+    /// Begins a trouble, which is the plan's step of this index.
+    pub async fn begin(
+        &mut self,
+        trouble: Trouble,
+        span: Millis,
+        index: usize,
+    ) -> Result<(), SoakError> {
+        let until = Instant::now() + span.duration();
+        match trouble {
+            Trouble::Kill(vm) => self.kill(vm, until).await,
+            Trouble::KillAll => {
+                for vm in 0..self.vms.len() {
+                    self.kill(vm, until).await;
+                }
+            }
+            Trouble::Stop(vm) => {
+                let vm = &mut self.vms[vm];
+                vm.process.signal(Signal::SIGTERM)?;
+                vm.kill = Some(Instant::now() + GRACE);
+                vm.down = Some(until);
+            }
+            Trouble::Pause(vm) => self.vms[vm].process.signal(Signal::SIGSTOP)?,
+            Trouble::Isolate(vm) => self.net.pause(&self.vms[vm].name),
+            Trouble::Part(vm, way) => self.part(vm, way, true),
+            Trouble::CutDomain(i) => self.net.cut(&self.domains[i]),
+            Trouble::Delay => self.net.delay(Hops {
+                domains: LONG_HOP,
+                client: Duration::ZERO,
+            }),
+            Trouble::Reset(vm) => self.vms[vm].opened.iter().for_each(Relay::reset),
+            Trouble::SilenceStore(vm) => self.vms[vm].door.silence(),
+            Trouble::Store(vm, mode) => self.set_store(vm, mode),
+            Trouble::Compact => self.store.compact(),
+            Trouble::Crash(i) => self.leave(i),
+            Trouble::SilenceMinion(i) => self.faces[i].silence(),
+            Trouble::Slow(i, factor) => self.fleet.change(&self.ids[i], |m, _| m.slowness = factor),
+            Trouble::Fail(i) => self.fleet.change(&self.ids[i], |m, _| m.fail_all = true),
+            Trouble::Stall(i) => self.fleet.change(&self.ids[i], |m, _| m.stall()),
+            Trouble::Drain(i) => {
+                self.fleet
+                    .change(&self.ids[i], |m, _| m.info.draining = true);
+                self.publish_minion(i);
+                let at = self.fleet.now();
+                self.drained.push((index, self.ids[i].clone(), at));
+            }
+            Trouble::Orders(faults) => self.faces.iter().for_each(|f| f.set(faults)),
+            Trouble::Configure => self.publish_configuration()?,
+            // The load asks the plan.
+            Trouble::Burst(_) => {}
+        }
+        Ok(())
+    }
+
+    /// Ends a trouble.
+    pub async fn end(&mut self, trouble: Trouble) -> Result<(), SoakError> {
+        match trouble {
+            Trouble::Pause(vm) => self.vms[vm].process.signal(Signal::SIGCONT)?,
+            Trouble::Isolate(vm) => self.net.resume(&self.vms[vm].name),
+            Trouble::Part(vm, way) => self.part(vm, way, false),
+            Trouble::CutDomain(i) => self.net.heal(&self.domains[i]),
+            Trouble::Delay => self.net.delay(Hops::default()),
+            Trouble::Store(vm, _) => self.set_store(vm, StoreMode::Well),
+            Trouble::Crash(i) => self.come_back(i).await?,
+            Trouble::Drain(i) => {
+                self.leave(i);
+                self.store.put(Topic::Register, self.ids[i].as_str(), &[]);
+                self.come_back(i).await?;
+            }
+            Trouble::Slow(i, _) => self.fleet.change(&self.ids[i], |m, _| m.slowness = 1.0),
+            Trouble::Fail(i) => self.fleet.change(&self.ids[i], |m, _| m.fail_all = false),
+            Trouble::Orders(_) => {
+                let none = OrderFaults::default();
+                self.faces.iter().for_each(|f| f.set(none));
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    async fn kill(&mut self, vm: usize, until: Instant) {
+        let vm = &mut self.vms[vm];
+        vm.process.kill().await;
+        vm.down = Some(until);
+    }
+
+    fn part(&self, vm: usize, way: Way, on: bool) {
+        let one = &self.vms[vm];
+        for other in self.vms.iter().filter(|o| o.name != one.name) {
+            if way != Way::In {
+                self.net.part(&one.name, &other.name, on);
+            }
+            if way != Way::Out {
+                self.net.part(&other.name, &one.name, on);
+            }
+        }
+        if way != Way::Out {
+            self.net.stall(one.called.addr(), on);
+        }
+    }
+
+    fn set_store(&self, vm: Option<usize>, mode: StoreMode) {
+        let all = self.vms.iter().enumerate();
+        let concerned = all.filter(|(i, _)| vm.is_none_or(|v| v == *i));
+        concerned.for_each(|(_, vm)| vm.door.set(mode));
+    }
+
+    /// Ends a minion's process with all that runs there.
+    fn leave(&mut self, i: usize) {
+        self.faces[i].die();
+        self.away[i] = true;
+        self.fleet.change(&self.ids[i], |m, now| m.reborn(now));
+    }
+
+    async fn come_back(&mut self, i: usize) -> Result<(), SoakError> {
+        if !std::mem::replace(&mut self.away[i], false) {
+            return Ok(());
+        }
+        self.fleet
+            .change(&self.ids[i], |m, _| m.info.draining = false);
+        self.faces[i].come_back().await.map_err(SoakError::Bind)?;
+        self.publish_minion(i);
+        Ok(())
+    }
+}
+
+/// Where a VM listens and is called.
+struct Place {
+    name: String,
+    domain: Domain,
+    ip: Ipv4Addr,
+    called: Ipv4Addr,
+    front: SocketAddr,
+    ready: SocketAddr,
+    peers: u16,
+    beats: u16,
+}
+
+async fn relay(listen: SocketAddr, target: SocketAddr, net: &Net) -> Result<Relay, SoakError> {
+    let relay = Relay::start(listen, target, net.clone()).await;
+    relay.map_err(SoakError::Bind)
+}
+
+fn minions(domains: &[Domain], each: usize) -> Result<Vec<MinionInfo>, SoakError> {
+    let mut infos = Vec::new();
+    for domain in domains {
+        for i in 0..each {
+            let id = format!("m-{domain}-{i}").parse();
+            infos.push(MinionInfo {
+                id: id.map_err(SoakError::Name)?,
+                addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+                domain: domain.clone(),
+                service: service()?,
+                capacity: Resources {
+                    cpu: MilliCores(CORES[i % CORES.len()] * 1_000),
+                    memory: Mebibytes(131_072),
+                    gpus: Gpus(0),
+                },
+                labels: vec!["a".into()],
+                draining: false,
+                born: 1,
+            });
+        }
+    }
+    Ok(infos)
+}
+
+fn write(path: &PathBuf, text: &str) -> Result<(), SoakError> {
+    let written: io::Result<()> = fs::write(path, text);
+    written.map_err(|e| SoakError::File(path.clone(), e))
+}
--- /dev/null
+++ b/components/soak/tests/checks.rs
@@ -0,0 +1,186 @@
+//! Each promise that a run checks is seen broken when it is.
+
+use kernel::{Fence, Gpus, LeaseTime, Mebibytes, MilliCores, Millis, MinionId, RunNumber};
+use platform_standin::{Answer, Job};
+use schedule::{MinionInfo, Resources, StartOrder, TaskName};
+use soak::{Attempt, Fault, Record, check};
+use standins::{Breach, LeasedFleet, Work};
+
+const NUMBER: &str = "00000000000000ab";
+
+fn work() -> Work {
+    Work::new(14, Millis(0))
+}
+
+fn minion(name: &str) -> MinionInfo {
+    MinionInfo {
+        id: name.parse().unwrap(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        domain: "d0".parse().unwrap(),
+        service: "quotes".parse().unwrap(),
+        capacity: Resources {
+            cpu: MilliCores(32_000),
+            memory: Mebibytes(131_072),
+            gpus: Gpus(0),
+        },
+        labels: Vec::new(),
+        draining: false,
+        born: 1,
+    }
+}
+
+fn fleet() -> LeasedFleet {
+    LeasedFleet::new([minion("m-0"), minion("m-1")])
+}
+
+/// Starts a task of the job on a minion, behind every caller.
+fn start(fleet: &LeasedFleet, on: &str, index: u16, work: Work) {
+    let order = StartOrder {
+        minion: on.parse::<MinionId>().unwrap(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        fence: Fence(1),
+        task: TaskName::new(&NUMBER.parse().unwrap(), 0, index),
+        run: RunNumber(1),
+        payload: work.to_string().into(),
+        lease: LeaseTime(u64::MAX),
+    };
+    fleet.start(&order).unwrap();
+}
+
+fn attempt(answer: Answer, sent: u64) -> Attempt {
+    Attempt {
+        vm: 0,
+        life: 1,
+        sent,
+        ended: sent + 10,
+        answer: Some(answer),
+    }
+}
+
+fn record(version: Option<u64>, attempts: Vec<Attempt>) -> Record {
+    Record {
+        job: Job {
+            id: NUMBER.parse().unwrap(),
+            tasks: 2,
+            work: work(),
+            estimate: Millis(10),
+            patience: Millis(1_500),
+        },
+        version,
+        attempts,
+        open: false,
+    }
+}
+
+/// Checks one job that got one answer, long after everything.
+fn one(fleet: &LeasedFleet, answer: Answer) -> Vec<Fault> {
+    let record = record(None, vec![attempt(answer, 1 << 40)]);
+    check(&[record], fleet, &[])
+}
+
+#[test]
+fn whole_answer() {
+    let fleet = fleet();
+    start(&fleet, "m-0", 0, work());
+    start(&fleet, "m-1", 1, work());
+    assert_eq!(one(&fleet, Answer::Completed), []);
+}
+
+#[test]
+fn incomplete_answer() {
+    let fleet = fleet();
+    start(&fleet, "m-0", 0, work());
+    let id = NUMBER.parse().unwrap();
+    assert_eq!(one(&fleet, Answer::Completed), [Fault::Incomplete(id)]);
+}
+
+#[test]
+fn untrue_refusal() {
+    let fleet = fleet();
+    start(&fleet, "m-0", 0, work());
+    let id: schedule::JobId = NUMBER.parse().unwrap();
+    let ran = Fault::Ran(id.clone(), TaskName::new(&id, 0, 0));
+    assert_eq!(one(&fleet, Answer::Refused(None)), [ran]);
+    // An earlier sending without an answer may have run.
+    let sent = vec![
+        attempt(Answer::Broken, 1 << 40),
+        attempt(Answer::Refused(None), 1 << 41),
+    ];
+    assert_eq!(check(&[record(None, sent)], &fleet, &[]), []);
+}
+
+#[test]
+fn untrue_failure() {
+    let fleet = fleet();
+    start(&fleet, "m-0", 0, work());
+    let id = NUMBER.parse().unwrap();
+    assert_eq!(one(&fleet, Answer::Failed), [Fault::NotFailed(id)]);
+}
+
+#[test]
+fn unasked_task() {
+    let fleet = fleet();
+    start(&fleet, "m-0", 0, work());
+    let task = TaskName::new(&NUMBER.parse().unwrap(), 0, 0);
+    assert_eq!(check(&[], &fleet, &[]), [Fault::Unasked(task)]);
+}
+
+#[test]
+fn altered_work() {
+    let fleet = fleet();
+    let altered = Work::new(14, Millis(1));
+    start(&fleet, "m-0", 0, altered);
+    let task = TaskName::new(&NUMBER.parse().unwrap(), 0, 0);
+    assert_eq!(one(&fleet, Answer::Broken), [Fault::Unasked(task)]);
+}
+
+#[test]
+fn running_twice() {
+    let fleet = fleet();
+    let long = Work::new(14, Millis(60_000));
+    start(&fleet, "m-0", 0, long);
+    start(&fleet, "m-1", 0, long);
+    let broken = fleet.broken();
+    assert!(
+        matches!(broken[..], [Breach::RunsTwice { .. }]),
+        "{broken:?}"
+    );
+}
+
+#[test]
+fn overfull_minion() {
+    let fleet = fleet();
+    let long = Work::new(14, Millis(60_000));
+    for index in 0..3 {
+        start(&fleet, "m-0", index, long);
+    }
+    let broken = fleet.broken();
+    assert!(
+        matches!(broken[..], [Breach::Overfull { .. }]),
+        "{broken:?}"
+    );
+}
+
+#[test]
+fn older_version() {
+    let fleet = fleet();
+    let versions = [(1, 0), (4, 100)];
+    let seen = record(Some(4), vec![attempt(Answer::NoQueue, 120)]);
+    let served = |version, sent| {
+        let mut record = record(Some(version), vec![attempt(Answer::Failed, sent)]);
+        record.job.tasks = 0;
+        record
+    };
+    let wrong = |records: &[Record]| {
+        let faults = check(records, &fleet, &versions);
+        let went_back = |f: &&Fault| matches!(f, Fault::Regressed(0, 4));
+        faults.iter().filter(went_back).count()
+    };
+    // Not in force yet, then in force.
+    assert_eq!(wrong(&[seen.clone(), served(4, 200)]), 0);
+    // In force, and then not any more.
+    assert_eq!(wrong(&[served(4, 100), seen.clone()]), 1);
+    assert_eq!(wrong(&[served(4, 100), served(1, 120)]), 1);
+    // Sent before the later version had shown.
+    assert_eq!(wrong(&[served(4, 100), served(1, 105)]), 0);
+}
--- /dev/null
+++ b/components/soak/tests/plans.rs
@@ -0,0 +1,52 @@
+//! A plan depends on its seed alone, and meets every kind of trouble.
+
+use std::collections::BTreeSet;
+
+use kernel::Millis;
+use soak::{Plan, Shape, Step, Trouble};
+
+const SHAPE: Shape = Shape {
+    domains: 2,
+    vms: 5,
+    minions: 4,
+};
+
+#[test]
+fn same_seed() {
+    let draw = |seed| Plan::draw(seed, SHAPE, Millis(12_000));
+    assert_eq!(draw(7), draw(7));
+    assert_ne!(draw(7).steps, draw(8).steps);
+}
+
+#[test]
+fn all_kinds() {
+    let plans = (0..60).map(|seed| Plan::draw(seed, SHAPE, Millis(12_000)));
+    let steps: Vec<_> = plans.flat_map(|p| p.steps).collect();
+    let kinds: BTreeSet<_> = steps.iter().map(|s| s.trouble.kind()).collect();
+    assert_eq!(kinds.len(), 21, "{kinds:?}");
+}
+
+#[test]
+fn calm_steps() {
+    let step = |at, span, trouble| Step {
+        at: Millis(at),
+        span: Millis(span),
+        trouble,
+    };
+    let plan = Plan {
+        seed: 0,
+        shape: SHAPE,
+        span: Millis(60_000),
+        steps: vec![
+            step(1_000, 1_000, Trouble::Compact),
+            step(10_000, 500, Trouble::Stop(0)),
+            step(18_000, 500, Trouble::Stop(1)),
+        ],
+    };
+    let calm = |index| plan.calm(index, Millis(3_000), Millis(7_000));
+    assert!(calm(1));
+    // Within the time that is looked at before it, or after it.
+    assert!(!plan.calm(1, Millis(8_500), Millis(7_000)));
+    assert!(!plan.calm(1, Millis(3_000), Millis(8_000)));
+    assert!(calm(2));
+}
--- a/components/standins/src/leased_fleet.rs
+++ b/components/standins/src/leased_fleet.rs
@@ -115,6 +115,8 @@
     pub run: RunNumber,
     /// The minion.
     pub minion: MinionId,
+    /// What the task was told to do.
+    pub work: Work,
     /// When, in milliseconds on the fleet's clock.
     pub at: u64,
 }
@@ -254,6 +256,7 @@
                 task: order.task.clone(),
                 run: order.run,
                 minion: order.minion.clone(),
+                work,
                 at: now,
             });
             let broken = breaches(state.minions.values());
--- a/components/standins/src/net.rs
+++ b/components/standins/src/net.rs
@@ -59,6 +59,11 @@
         });
     }
 
+    /// Changes the delays for what is sent from now on.
+    pub fn delay(&self, hops: Hops) {
+        self.change(|t| t.hops = hops);
+    }
+
     /// Cuts a failure domain off from the others and from the platform. It
     /// still reaches itself and its callers.
     pub fn cut(&self, domain: &Domain) {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,6 +6,7 @@
 
 use crate::cmd::completions::CompletionsArgs;
 use crate::cmd::experiment::ExperimentArgs;
+use crate::cmd::faults::FaultsArgs;
 use crate::cmd::job::JobCommand;
 use crate::cmd::load::LoadArgs;
 use crate::cmd::replay::ReplayArgs;
@@ -72,6 +73,8 @@
     Replay(ReplayArgs),
     /// Play random traces on a fleet inside this process.
     Soak(SoakArgs),
+    /// Play random faults on processes of `pomelopost --platform`, from outside.
+    Faults(FaultsArgs),
     /// Measure how costs grow with the fleet, see docs/CAPACITY.md.
     Slopes(SlopesArgs),
     /// Compare the policies under load and faults on fleets inside this process.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod completions;
 pub mod experiment;
+pub mod faults;
 pub mod job;
 pub mod load;
 pub mod man;
@@ -32,6 +33,7 @@
         Command::Demo => replay::demo().await,
         Command::Replay(args) => replay::run(&args).await,
         Command::Soak(args) => soak::run(&args).await,
+        Command::Faults(args) => faults::run(&args).await,
         Command::Slopes(args) => slopes::run(args).await,
         Command::Experiment(args) => experiment::run(&args).await,
         Command::Job(command) => job::run(&Fleet::find(&ctl.fleet).await?, command).await,
--- a/src/error.rs
+++ b/src/error.rs
@@ -65,6 +65,8 @@
     Trace(PathBuf, replay::TraceError),
     /// The embedded fleet could not start.
     Launch(replay::LaunchError),
+    /// A run of faults on processes can't be made.
+    Soak(soak::SoakError),
     /// The sheet has faults.
     Sheet(PathBuf, Vec<sheet::RowFault>),
     /// The command needs the platform's address.
@@ -130,6 +132,7 @@
             CommandError::Part(name) => write!(f, "no configuration of {name} is installed"),
             CommandError::Trace(path, e) => write!(f, "{}: {e}", path.display()),
             CommandError::Launch(e) => write!(f, "{e}"),
+            CommandError::Soak(e) => write!(f, "{e}"),
             CommandError::Sheet(path, faults) => faults
                 .iter()
                 .try_for_each(|fault| writeln!(f, "{}: {fault}", path.display())),
