--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use kernel::{HashSet, MinionId};
 use metrics::Count;
 use ownership::shard_of;
 use schedule::{
     Action, Fence, Heard, JobId, MinionInfo, Outcome, Scheduler, StartOrder, StartReply, StopOrder,
 };
+use tokio::time::timeout;
 
 use crate::control::{HoldReply, Minions, StopReply};
 use crate::core::{Core, lock};
@@ -87,18 +90,45 @@
     }
 }
 
-/// How often a start is sent. A minion that has the run already says so, and
-/// one that carries the first order out late is past its lease time.
+/// How often a start is sent at most. A minion that has the run already says
+/// so, and one that carries an order out late is past its lease time.
 const START_TRIES: u32 = 4;
 
-async fn start<M: Minions>(core: Arc<Core<M>>, owned: Arc<Owned>, order: StartOrder) {
-    let mut reply = core.minions.start(&order).await;
-    for _ in 1..START_TRIES {
-        if reply != StartReply::NoAnswer {
-            break;
+/// How long a start may go unanswered before it is sent again beside the first:
+/// ten times the way there and back, and half of what a task of 60 ms may be
+/// late.
+const START_HEDGE: Duration = Duration::from_millis(30);
+
+/// Sends a start until a minion says that it has the run, or none of the tries
+/// can be answered any more.
+async fn send_start<M: Minions>(minions: &M, order: &StartOrder) -> StartReply {
+    let mut pending = FuturesUnordered::new();
+    pending.push(minions.start(order));
+    let mut sent = 1;
+    let mut told: Option<StartReply> = None;
+    loop {
+        let reply = match sent < START_TRIES {
+            true => timeout(START_HEDGE, pending.next()).await,
+            false => Ok(pending.next().await),
+        };
+        let lost = match reply {
+            Ok(Some(reply @ StartReply::Accepted(_))) => return reply,
+            Ok(Some(reply)) => {
+                told = Some(told.map_or(reply, |earlier| reply.after(earlier)));
+                reply == StartReply::NoAnswer
+            }
+            Ok(None) => return told.unwrap_or(StartReply::NoAnswer),
+            Err(_) => true,
+        };
+        if lost && sent < START_TRIES {
+            pending.push(minions.start(order));
+            sent += 1;
         }
-        reply = core.minions.start(&order).await.after(reply);
     }
+}
+
+async fn start<M: Minions>(core: Arc<Core<M>>, owned: Arc<Owned>, order: StartOrder) {
+    let reply = send_start(&core.minions, &order).await;
     core.metrics.add(Count::TaskSent, 1);
     if !matches!(reply, StartReply::Accepted(_)) {
         core.metrics.add(Count::StartUntaken, 1);
--- /dev/null
+++ b/components/engine/tests/silent_start.rs
@@ -0,0 +1,55 @@
+//! A start whose first sending is never answered is sent again beside it.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use common::{Site, config, eventually, free_port, job};
+use engine::{Configuration, Engine, HoldReply, Minions, Outcome, StopReply};
+use kernel::MinionId;
+use schedule::{HoldOrder, StartOrder, StartReply, StopOrder};
+
+/// Minions that never answer the first start, and do nothing then.
+#[derive(Clone)]
+struct FirstLost {
+    site: Site,
+    starts: Arc<AtomicUsize>,
+}
+
+impl Minions for FirstLost {
+    async fn start(&self, order: &StartOrder) -> StartReply {
+        if self.starts.fetch_add(1, Ordering::SeqCst) == 0 {
+            return std::future::pending().await;
+        }
+        self.site.start(order).await
+    }
+
+    async fn stop(&self, order: &StopOrder) -> StopReply {
+        self.site.stop(order).await
+    }
+
+    async fn hold(&self, id: &MinionId, order: &HoldOrder) -> HoldReply {
+        self.site.hold(id, order).await
+    }
+}
+
+#[tokio::test]
+async fn sent_beside() {
+    let site = Site::new(&[32]);
+    let minions = FirstLost {
+        site: site.clone(),
+        starts: Arc::default(),
+    };
+    let engine = Engine::start(config(1, free_port()), minions).await;
+    let engine = engine.unwrap();
+    engine.configure(Configuration {
+        version: 1,
+        ..Configuration::default()
+    });
+    engine.register(site.infos());
+    eventually("shard taken", || engine.owns()).await;
+    assert_eq!(engine.submit(job(1, 1, 30)).await, Outcome::Completed);
+    assert_eq!(site.starts(), 1);
+    assert_eq!(site.broken(), []);
+}
