A minion taken by another VM is left alone, longer each time

Cause: VMs that don't hear each other (node_cut all, core_cut all) took each minion from the other every 300 ms, and at once after a refused start; each change of hands ended what ran there. Change: 300 ms, doubled with each loss up to 9.6 s.

--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -9,7 +9,8 @@
 use metrics::Count;
 use ownership::shard_of;
 use schedule::{
-    Action, Fence, Heard, JobId, MinionInfo, Outcome, Scheduler, StartOrder, StartReply, StopOrder,
+    Action, Fence, Heard, JobId, MinionInfo, NextHold, Outcome, Scheduler, StartOrder, StartReply,
+    StopOrder,
 };
 use tokio::time::timeout;
 
@@ -28,8 +29,7 @@
 /// token; more often means that another VM takes it too.
 const FENCE_TRIES: u32 = 12;
 
-/// The pause before a minion is taken again that another VM has taken from us,
-/// in which beats tell which of the two owns the shard.
+/// The pause after that many tries.
 const FENCED_PAUSE: Duration = Duration::from_millis(300);
 
 /// Carries out what a shard's scheduler has decided.
@@ -166,7 +166,10 @@
 fn fenced<M>(core: &Core<M>, owned: &Owned, id: &MinionId, refused: Fence, tries: u32) {
     core.metrics.add(Count::MinionFenced, 1);
     let next = lock(&core.tokens).above(refused, tries);
-    owned.lock().scheduler.fenced(id, refused, next);
+    let now = core.now();
+    if owned.lock().scheduler.fenced(id, refused, next, now) {
+        log::warn!(minion:% = id, fence = refused.0; "minion taken by another VM");
+    }
 }
 
 /// Brings the shard's minions in line with the register, and starts to drive
@@ -217,10 +220,17 @@
     let mut pause = Duration::ZERO;
     let mut tries = 0;
     loop {
-        let order = owned.lock().scheduler.hold(&id, core.now());
-        let Some(order) = order else {
-            owned.lock().driven.remove(&id);
-            return;
+        let next = owned.lock().scheduler.hold(&id, core.now());
+        let order = match next {
+            Some(NextHold::Send(order)) => order,
+            Some(NextHold::Pause(pause)) => {
+                tokio::time::sleep(pause.duration()).await;
+                continue;
+            }
+            None => {
+                owned.lock().driven.remove(&id);
+                return;
+            }
         };
         match core.minions.hold(&id, &order).await {
             HoldReply::Listed(list) => {
@@ -242,8 +252,7 @@
             HoldReply::Fenced => {
                 tries += 1;
                 fenced(&core, &owned, &id, order.fence, tries);
-                if order.lease.is_some() || tries > FENCE_TRIES {
-                    log::warn!(minion:% = id, fence = order.fence.0; "minion taken by another VM");
+                if tries > FENCE_TRIES {
                     tokio::time::sleep(FENCED_PAUSE).await;
                 }
             }
--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -5,7 +5,7 @@
 use crate::action::Action;
 use crate::ids::TaskName;
 use crate::job::{Outcome, TaskState};
-use crate::minion::{EndKind, Grip, HoldOrder, Listing, StartReply};
+use crate::minion::{EndKind, Grip, HoldOrder, Listing, NextHold, StartReply};
 use crate::run::{Phase, Run};
 use crate::scheduler::Scheduler;
 
@@ -31,13 +31,17 @@
 const DOUBT_SPAN: Millis = Millis(2_000);
 
 impl Scheduler {
-    /// Returns the next hold to send to a minion; none if it is not here.
-    pub fn hold(&mut self, id: &MinionId, now: Timestamp) -> Option<HoldOrder> {
+    /// Returns the next hold to send to a minion, or how long to leave it alone;
+    /// nothing if it is not here.
+    pub fn hold(&mut self, id: &MinionId, now: Timestamp) -> Option<NextHold> {
         if self.frozen {
             return None;
         }
         let lease = self.cfg.lease;
         let minion = self.minions.get_mut(id)?;
+        if let Some(pause) = minion.contest.pause(now) {
+            return Some(NextHold::Pause(pause));
+        }
         // A lease renewed on a minion whose answers don't arrive would keep
         // runs alive that nobody can stop.
         let renew = minion.grip == Grip::Held;
@@ -51,13 +55,13 @@
             (true, true) => self.cfg.doubt_wait,
             (true, false) => self.cfg.hold_wait,
         };
-        Some(HoldOrder {
+        Some(NextHold::Send(HoldOrder {
             addr: minion.info.addr,
             fence: minion.fence,
             seen: minion.seen,
             lease: until.map(|clock| clock.after(lease)),
             wait,
-        })
+        }))
     }
 
     /// Takes note of a hold that got no answer. Returns true if the minion
@@ -77,14 +81,21 @@
 
     /// Takes note that a minion has seen a higher token: what runs there is
     /// another owner's now. `refused` is the token that it turned away, `next`
-    /// the one for taking it again.
-    pub fn fenced(&mut self, id: &MinionId, refused: Fence, next: Fence) {
-        if let Some(minion) = self.minions.get_mut(id)
-            && minion.fence == refused
-        {
-            minion.grip = Grip::Taking;
-            minion.fence = next;
+    /// the one for taking it again. Returns true if the minion had obeyed us.
+    pub fn fenced(&mut self, id: &MinionId, refused: Fence, next: Fence, now: Timestamp) -> bool {
+        let Some(minion) = self.minions.get_mut(id) else {
+            return false;
+        };
+        if minion.fence != refused {
+            return false;
+        }
+        let taken = minion.grip != Grip::Taking;
+        if taken {
+            minion.contest.lost(now);
         }
+        minion.grip = Grip::Taking;
+        minion.fence = next;
+        taken
     }
 
     /// Takes a minion again whose process is a new one. Its size is unknown
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::ScheduleConfig;
+use crate::contest::Contest;
 use crate::health::Health;
 use crate::ids::TaskName;
 use crate::resources::Resources;
@@ -127,6 +128,15 @@
     pub wait: Millis,
 }
 
+/// What to do next to hold a minion.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NextHold {
+    /// Send this.
+    Send(HoldOrder),
+    /// Leave it to the VM that has taken it, for so long.
+    Pause(Millis),
+}
+
 /// Whether a minion obeys this owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Grip {
@@ -166,6 +176,8 @@
     pub missed: Option<Timestamp>,
     /// When an order that renews the lease was last sent.
     pub leased: Timestamp,
+    /// How often another VM has taken it from us.
+    pub contest: Contest,
 }
 
 /// How much longer a lease may last than its owner's clock says: minions'
@@ -191,6 +203,7 @@
             misses: 0,
             missed: None,
             leased: Timestamp(0),
+            contest: Contest::default(),
         }
     }
 
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -279,6 +279,7 @@
         };
         let mut fresh = Minion::new(minion.info.clone(), minion.fence);
         fresh.leased = minion.leased;
+        fresh.contest = minion.contest;
         let runs = std::mem::take(&mut minion.runs);
         let (gone, sent) = runs.into_iter().partition(|r| r.phase == Phase::Running);
         fresh.runs = sent;
--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -11,8 +11,8 @@
 use rand::{Rng, SeedableRng};
 use schedule::{
     Action, Fence, Gpus, Heard, HoldOrder, JobId, JobSpec, LeaseTime, Listing, Mebibytes,
-    MilliCores, MinionInfo, Outcome, Resources, RunNumber, ScheduleConfig, Scheduler, StartOrder,
-    StartReply, Step, StopOrder, TaskName,
+    MilliCores, MinionInfo, NextHold, Outcome, Resources, RunNumber, ScheduleConfig, Scheduler,
+    StartOrder, StartReply, Step, StopOrder, TaskName,
 };
 use standins::{LeasedMinion, Work, breaches};
 
@@ -74,9 +74,11 @@
     Hold(usize, MinionId, HoldOrder),
     Started(usize, MinionId, TaskName, RunNumber, StartReply),
     Stopped(usize, MinionId, TaskName, RunNumber, LeaseTime),
-    Fenced(usize, MinionId, Fence),
+    /// An order was refused; true if it was a hold.
+    Fenced(usize, MinionId, Fence, bool),
     Listed(usize, MinionId, Fence, Listing),
     Missed(usize, MinionId),
+    Next(usize, MinionId),
 }
 
 /// How the network behaves, in parts of 1.
@@ -99,6 +101,8 @@
     pub faults: Faults,
     pub outcomes: Vec<(u64, JobId, Outcome)>,
     pub starts: u64,
+    /// How often an owner lost a minion to another.
+    pub taken: u64,
     pub broken: Vec<String>,
     /// What the minions were told, for traces.
     pub told: Vec<String>,
@@ -119,6 +123,7 @@
             faults: Faults::default(),
             outcomes: Vec::new(),
             starts: 0,
+            taken: 0,
             broken: Vec::new(),
             told: Vec::new(),
             works: BTreeMap::new(),
@@ -183,8 +188,10 @@
 
     fn hold(&mut self, owner: usize, id: MinionId) {
         let time = self.time();
-        if let Some(order) = self.owners[owner].hold(&id, time) {
-            self.send(Message::Hold(owner, id, order));
+        match self.owners[owner].hold(&id, time) {
+            Some(NextHold::Send(order)) => self.send(Message::Hold(owner, id, order)),
+            Some(NextHold::Pause(pause)) => self.post(pause.0, Message::Next(owner, id)),
+            None => {}
         }
     }
 
@@ -285,7 +292,7 @@
                 self.told.push(format!("{now}: stop {order:?} by {owner}"));
                 let reply = match model.stop(&order, now) {
                     Some(clock) => Message::Stopped(owner, id, order.task, order.run, clock),
-                    None => Message::Fenced(owner, id, order.fence),
+                    None => Message::Fenced(owner, id, order.fence, false),
                 };
                 let none = Message::Missed(usize::MAX, "none".parse().unwrap());
                 self.answer(at, reply, none);
@@ -294,7 +301,7 @@
                 let model = self.minions.get_mut(&id).unwrap();
                 let reply = match model.hold(&order, now) {
                     Some(list) => Message::Listed(owner, id.clone(), order.fence, list),
-                    None => Message::Fenced(owner, id.clone(), order.fence),
+                    None => Message::Fenced(owner, id.clone(), order.fence, true),
                 };
                 self.answer(at, reply, Message::Missed(owner, id));
             }
@@ -305,11 +312,15 @@
             Message::Stopped(owner, id, task, run, clock) => {
                 self.owners[owner].stopped(&id, &task, run, clock);
             }
-            Message::Fenced(owner, id, refused) => {
+            Message::Fenced(owner, id, refused, held) => {
                 self.token += 1;
                 let next = Fence(self.token);
-                self.owners[owner].fenced(&id, refused, next);
-                self.post(300, Message::Missed(owner, id));
+                if self.owners[owner].fenced(&id, refused, next, time) {
+                    self.taken += 1;
+                }
+                if held {
+                    self.hold(owner, id);
+                }
             }
             Message::Listed(owner, id, fence, list) => {
                 let born = list.born;
@@ -320,6 +331,7 @@
                 self.perform(owner);
                 self.hold(owner, id);
             }
+            Message::Next(owner, id) => self.hold(owner, id),
             Message::Missed(usize::MAX, _) => {}
             Message::Missed(owner, id) => {
                 self.owners[owner].hold_missed(&id, time);
@@ -343,7 +355,8 @@
                 | Message::Stopped(o, ..)
                 | Message::Fenced(o, ..)
                 | Message::Listed(o, ..)
-                | Message::Missed(o, ..) => Some(*o),
+                | Message::Missed(o, ..)
+                | Message::Next(o, ..) => Some(*o),
                 _ => None,
             };
             let asleep = owner.is_some_and(|o| self.frozen.get(o) == Some(&true));
