A VM that hears nobody gives contested shards up

Cause: a VM cut off from all others goes on taking its domain's minions, and callers of the others lose what runs there.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -167,6 +167,10 @@
                     give_up(core, &shard, None);
                 }
             }
+            Change::Contested(shard) => {
+                log::warn!(shard:% = shard; "cut off, shard left to the VM that its minions obey");
+                give_up(core, &shard, None);
+            }
             Change::Owner(shard, addr) => {
                 log::info!(shard:% = shard, owner:% = addr; "shard has an owner");
             }
--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -167,8 +167,14 @@
     core.metrics.add(Count::MinionFenced, 1);
     let next = lock(&core.tokens).above(refused, tries);
     let now = core.now();
-    if owned.lock().scheduler.fenced(id, refused, next, now) {
+    let (lost, minions) = {
+        let scheduler = &mut owned.lock().scheduler;
+        let lost = scheduler.fenced(id, refused, next, now);
+        (lost, scheduler.minion_count())
+    };
+    if lost {
         log::warn!(minion:% = id, fence = refused.0; "minion taken by another VM");
+        core.peers().lost_minion(&owned.shard, minions, now);
     }
 }
 
--- a/components/ownership/src/config.rs
+++ b/components/ownership/src/config.rs
@@ -24,8 +24,14 @@
     pub abroad: Millis,
     /// After how long a silent VM is forgotten.
     pub forget: Millis,
-    /// How long a VM that was fenced off a shard leaves it alone.
+    /// How long a VM hears nobody before it takes itself for cut off: two beats
+    /// of VMs that own nothing.
+    pub alone: Millis,
+    /// How long a VM that is cut off leaves a shard alone whose minions obey
+    /// another VM; doubled each time.
     pub yield_time: Millis,
+    /// The longest of these times.
+    pub yield_most: Millis,
 }
 
 impl Default for OwnershipConfig {
@@ -39,7 +45,9 @@
             stagger: Millis(150),
             abroad: Millis(1_500),
             forget: Millis(30_000),
-            yield_time: Millis(1_000),
+            alone: Millis(1_100),
+            yield_time: Millis(2_000),
+            yield_most: Millis(16_000),
         }
     }
 }
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use kernel::{Epoch, HashMap, Timestamp, key_hash};
+use kernel::{Epoch, HashMap, Millis, Timestamp, key_hash};
 use schedule::Load;
 
 use crate::beat::{Beat, Claim, Report, VmInfo};
@@ -42,6 +42,29 @@
     Owner(Shard, SocketAddr),
     /// The shard's owner is not heard any more.
     Lost(Shard, SocketAddr),
+    /// This VM has given the shard up, as its minions obey another VM.
+    Contested(Shard),
+}
+
+/// How long the loss of a minion counts.
+const LOSS_SPAN: Millis = Millis(5_000);
+
+/// Minions of a shard that another VM has taken.
+#[derive(Debug, Clone, Default)]
+struct Losses {
+    /// How many minions the shard has.
+    minions: usize,
+    /// When each loss was.
+    times: Vec<Timestamp>,
+}
+
+/// A shard that was given up as contested.
+#[derive(Debug, Clone, Copy)]
+struct Yielded {
+    /// Until when it is left alone.
+    until: Timestamp,
+    /// How often in a row.
+    times: u32,
 }
 
 /// The VMs and shards as one VM sees them.
@@ -58,8 +81,10 @@
     epochs: HashMap<Shard, Epoch>,
     /// Since when a shard has had no owner.
     vacant: HashMap<Shard, Timestamp>,
-    /// Until when a shard is left alone.
-    yielded: HashMap<Shard, Timestamp>,
+    /// Losses of minions of own shards.
+    losses: HashMap<Shard, Losses>,
+    /// Shards that were given up as contested.
+    yielded: HashMap<Shard, Yielded>,
 }
 
 impl Peers {
@@ -74,6 +99,7 @@
             mine: HashMap::default(),
             epochs: HashMap::default(),
             vacant: HashMap::default(),
+            losses: HashMap::default(),
             yielded: HashMap::default(),
         }
     }
@@ -172,13 +198,56 @@
         self.owners.insert(shard.clone(), owner);
     }
 
-    /// Gives up a shard whose minions obey another VM, and leaves it alone for
-    /// a while.
-    pub fn yield_shard(&mut self, shard: &Shard, now: Timestamp) {
-        if self.mine.remove(shard).is_some() {
-            let until = now.after(self.cfg.yield_time);
-            self.yielded.insert(shard.clone(), until);
+    /// Takes note that another VM has taken a minion of a shard of ours, one of
+    /// `minions`.
+    pub fn lost_minion(&mut self, shard: &Shard, minions: usize, now: Timestamp) {
+        let losses = self.losses.entry(shard.clone()).or_default();
+        losses.minions = minions;
+        losses.times.push(now);
+    }
+
+    /// Tells whether nobody is heard of those that were.
+    fn alone(&self, now: Timestamp) -> bool {
+        let heard = |p: &Peer| p.info.is_some() && now.since(p.heard) < self.cfg.alone;
+        !self.peers.values().any(heard)
+    }
+
+    /// Gives up the shards whose minions another VM takes while this one hears
+    /// nobody: the other is likely heard by the rest, and callers do better
+    /// there.
+    fn give_up_contested(&mut self, now: Timestamp) -> Vec<Change> {
+        self.losses.retain(|_, losses| {
+            losses.times.retain(|at| now.since(*at) < LOSS_SPAN);
+            !losses.times.is_empty()
+        });
+        if self.losses.is_empty() || !self.alone(now) {
+            return Vec::new();
+        }
+        let contested = self
+            .losses
+            .iter()
+            .filter(|(_, l)| l.times.len() * 2 >= l.minions);
+        let contested: Vec<Shard> = contested.map(|(shard, _)| shard.clone()).collect();
+        let mut changes = Vec::new();
+        for shard in contested {
+            self.losses.remove(&shard);
+            let Some(claim) = self.mine.remove(&shard) else {
+                continue;
+            };
+            // Nobody has heard the claim, so it must not win over theirs later.
+            self.epochs
+                .insert(shard.clone(), Epoch(claim.epoch.0.saturating_sub(1)));
+            let times = self.yielded.get(&shard).map_or(0, |y| y.times);
+            let span = self.cfg.yield_time.0 << times.min(16);
+            let until = now.after(Millis(span).min(self.cfg.yield_most));
+            let yielded = Yielded {
+                until,
+                times: times + 1,
+            };
+            self.yielded.insert(shard.clone(), yielded);
+            changes.push(Change::Contested(shard));
         }
+        changes
     }
 
     /// Does what time asks for, given the shards that there are.
@@ -194,12 +263,15 @@
         });
         let forget = self.cfg.forget;
         self.peers.retain(|_, p| now.since(p.heard) < forget);
-        self.yielded.retain(|_, until| now < *until);
+        changes.extend(self.give_up_contested(now));
+        // Remembered for a while longer, so that the next time is longer.
+        let most = self.cfg.yield_most;
+        self.yielded.retain(|_, y| now < y.until.after(most));
         if self.me.leaving || now.since(self.started) < self.cfg.listen {
             return changes;
         }
         for shard in shards {
-            let left_alone = self.yielded.contains_key(shard);
+            let left_alone = self.yielded.get(shard).is_some_and(|y| now < y.until);
             if self.mine.contains_key(shard) || self.owners.contains_key(shard) || left_alone {
                 continue;
             }
--- a/components/ownership/tests/takeover.rs
+++ b/components/ownership/tests/takeover.rs
@@ -204,3 +204,58 @@
     assert_eq!(next(false), Some(small.addr));
     assert_eq!(next(true), Some(small.addr));
 }
+
+/// Lets a VM take its shard, and another VM take all of its 4 minions at 1.5 s.
+/// Returns when the shard is given up and taken again, up to 30 s.
+fn contest(hears: &[u64]) -> (Option<u64>, Option<u64>) {
+    let me = vm("10.1.0.1:1", "suva-a", 250);
+    let other = vm("10.2.0.1:1", "nadi-b", 250);
+    let mut peers = Peers::new(OwnershipConfig::default(), me, at(0));
+    peers.hear(beat(other.clone(), None), at(0));
+    let mut given = None;
+    let mut again = None;
+    for ms in (0..30_000).step_by(10) {
+        if hears.contains(&ms) {
+            peers.hear(beat(other.clone(), None), at(ms));
+        }
+        if ms == 1_500 {
+            (0..4).for_each(|_| peers.lost_minion(&shard(), 4, at(ms)));
+        }
+        let changes = peers.tick(&[shard()], at(ms));
+        if changes.contains(&Change::Contested(shard())) {
+            given = given.or(Some(ms));
+        }
+        if given.is_some() && taken(&changes) {
+            again = again.or(Some(ms));
+        }
+    }
+    (given, again)
+}
+
+#[test]
+fn cut_off_yields() {
+    // Nobody was heard for 1.1 s when the minions were taken.
+    assert_eq!(contest(&[]), (Some(1_500), Some(3_500)));
+}
+
+#[test]
+fn heard_keeps() {
+    let hears: Vec<u64> = (0..30_000).step_by(500).collect();
+    assert_eq!(contest(&hears), (None, None));
+}
+
+#[test]
+fn yields_longer() {
+    let me = vm("10.1.0.1:1", "suva-a", 250);
+    let mut peers = Peers::new(OwnershipConfig::default(), me, at(0));
+    let mut takes = Vec::new();
+    for ms in (0..20_000).step_by(10) {
+        let changes = peers.tick(&[shard()], at(ms));
+        if taken(&changes) {
+            takes.push(ms);
+            (0..4).for_each(|_| peers.lost_minion(&shard(), 4, at(ms)));
+        }
+    }
+    let gaps: Vec<_> = takes.windows(2).map(|w| w[1] - w[0]).collect();
+    assert_eq!(gaps, [2_010, 4_010, 8_010]);
+}
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -113,6 +113,11 @@
         self.minions.keys().cloned().collect()
     }
 
+    /// Returns how many minions there are here.
+    pub fn minion_count(&self) -> usize {
+        self.minions.len()
+    }
+
     /// Tells whether the job is here.
     pub fn knows(&self, id: &JobId) -> bool {
         self.jobs.contains_key(id)
