A VM that seems cut off takes one minion of a shard first

Change: a VM that has lost two owners at once and hears none, or hears less than half of the VMs that there were, takes one minion and the rest after 700 ms; it gives contested shards up, also if it has never heard another; the VM that hears most others takes its minions back after 300 ms each time.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -13,7 +13,7 @@
 use crate::control::Minions;
 use crate::core::{Core, lock};
 use crate::drive;
-use crate::owned::{Ending, Owned};
+use crate::owned::{Ending, Owned, Taking};
 
 /// The largest beat in bytes, within one Ethernet frame's worth of fragments.
 const BEAT_SIZE: usize = 8 << 10;
@@ -184,7 +184,11 @@
 
 /// Starts to own a shard.
 pub(crate) fn take<M: Minions>(core: &Arc<Core<M>>, shard: &Shard) -> Arc<Owned> {
-    let owned = Owned::new(shard.clone(), core.cfg.schedule.clone());
+    let taking = match core.peers().cut_off(core.now()) {
+        true => Taking::First(None),
+        false => Taking::All,
+    };
+    let owned = Owned::new(shard.clone(), core.cfg.schedule.clone(), taking);
     install(core, &owned);
     drive::sync_register(core, &owned);
     owned
--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -16,7 +16,7 @@
 
 use crate::control::{HoldReply, Minions, StopReply};
 use crate::core::{Core, lock};
-use crate::owned::{Ending, Owned, State};
+use crate::owned::{Ending, Owned, State, Taking};
 
 /// The pause after the second unanswered hold in a row, there is none after the
 /// first; doubled up to the next one.
@@ -167,10 +167,15 @@
     core.metrics.add(Count::MinionFenced, 1);
     let next = lock(&core.tokens).above(refused, tries);
     let now = core.now();
+    let right = !core.peers().cut_off(now);
     let (lost, minions) = {
-        let scheduler = &mut owned.lock().scheduler;
-        let lost = scheduler.fenced(id, refused, next, now);
-        (lost, scheduler.minion_count())
+        let mut state = owned.lock();
+        let lost = state.scheduler.fenced(id, refused, next, right, now);
+        let minions = match state.taking {
+            Taking::All => state.scheduler.minion_count(),
+            Taking::First(_) => 1,
+        };
+        (lost, minions)
     };
     if lost {
         log::warn!(minion:% = id, fence = refused.0; "minion taken by another VM");
@@ -221,8 +226,26 @@
     }
 }
 
+/// How long a VM that seems cut off waits after it has taken a shard's first
+/// minion, before it takes the rest: an owner that lives takes the first back
+/// within its pause of 300 ms and a hold.
+const FIRST_WAIT: Duration = Duration::from_millis(700);
+
+/// Waits until it is the minion's turn to be taken.
+async fn await_turn(owned: &Owned, id: &MinionId) {
+    let first = match &mut owned.lock().taking {
+        Taking::All => return,
+        Taking::First(first) => first.get_or_insert_with(|| id.clone()) == id,
+    };
+    if !first {
+        tokio::time::sleep(FIRST_WAIT).await;
+        owned.lock().taking = Taking::All;
+    }
+}
+
 /// Holds a minion for as long as it is in the shard.
 async fn drive<M: Minions>(core: Arc<Core<M>>, owned: Arc<Owned>, id: MinionId) {
+    await_turn(&owned, &id).await;
     let mut pause = Duration::ZERO;
     let mut tries = 0;
     loop {
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -12,7 +12,7 @@
 use crate::control::Minions;
 use crate::core::{Core, lock};
 use crate::drive;
-use crate::owned::Waiter;
+use crate::owned::{Owned, Taking, Waiter};
 
 /// The pause before a shard is offered again that no VM could take.
 const OFFER_PAUSE: Duration = Duration::from_millis(100);
@@ -110,7 +110,7 @@
     log::info!(shard:% = shard, from:% = from, jobs = state.jobs.len(); "shard accepted");
     core.peers().accept(&shard);
     let now = core.now();
-    let owned = crate::owned::Owned::new(shard.clone(), core.cfg.schedule.clone());
+    let owned = Owned::new(shard.clone(), core.cfg.schedule.clone(), Taking::All);
     {
         let mut locked = owned.lock();
         let mut tokens = lock(&core.tokens);
--- a/components/engine/src/owned.rs
+++ b/components/engine/src/owned.rs
@@ -31,6 +31,16 @@
     Moved(SocketAddr),
 }
 
+/// Which of a shard's minions are taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Taking {
+    /// All.
+    All,
+    /// Only one, the first that is driven, because this VM seems cut off: an
+    /// owner that lives takes it back, and the others have lost nothing.
+    First(Option<MinionId>),
+}
+
 /// The state of an owned shard.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -38,6 +48,8 @@
     pub scheduler: Scheduler,
     /// Who waits for which job.
     pub waiters: HashMap<JobId, Waiter>,
+    /// Which minions are taken.
+    pub taking: Taking,
     /// Minions with a driver.
     pub driven: HashSet<MinionId>,
     /// Outcomes of handed-over jobs that nobody has asked for yet.
@@ -59,12 +71,13 @@
 
 impl Owned {
     /// Starts to own a shard.
-    pub fn new(shard: Shard, cfg: ScheduleConfig) -> Arc<Owned> {
+    pub fn new(shard: Shard, cfg: ScheduleConfig, taking: Taking) -> Arc<Owned> {
         Arc::new(Owned {
             shard,
             state: Mutex::new(State {
                 scheduler: Scheduler::new(cfg),
                 waiters: HashMap::default(),
+                taking,
                 driven: HashSet::default(),
                 kept: HashMap::default(),
                 serial: 0,
--- a/components/ownership/src/config.rs
+++ b/components/ownership/src/config.rs
@@ -24,8 +24,8 @@
     pub abroad: Millis,
     /// After how long a silent VM is forgotten.
     pub forget: Millis,
-    /// How long a VM hears nobody before it takes itself for cut off: two beats
-    /// of VMs that own nothing.
+    /// How long another VM is not heard before it counts as one that this VM is
+    /// cut off from: two beats of VMs that own nothing.
     pub alone: Millis,
     /// How long a VM that is cut off leaves a shard alone whose minions obey
     /// another VM; doubled each time.
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -1,6 +1,7 @@
 //! What a VM knows of the others, and when it takes a shard itself.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::cmp::Ordering;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use kernel::{Epoch, HashMap, Millis, Timestamp, key_hash};
 use schedule::Load;
@@ -46,7 +47,7 @@
     Contested(Shard),
 }
 
-/// How long the loss of a minion counts.
+/// How long the loss of an owner or a minion counts.
 const LOSS_SPAN: Millis = Millis(5_000);
 
 /// Minions of a shard that another VM has taken.
@@ -81,6 +82,8 @@
     epochs: HashMap<Shard, Epoch>,
     /// Since when a shard has had no owner.
     vacant: HashMap<Shard, Timestamp>,
+    /// Owners that are not heard any more, and since when.
+    lost: HashMap<SocketAddr, Timestamp>,
     /// Losses of minions of own shards.
     losses: HashMap<Shard, Losses>,
     /// Shards that were given up as contested.
@@ -99,6 +102,7 @@
             mine: HashMap::default(),
             epochs: HashMap::default(),
             vacant: HashMap::default(),
+            lost: HashMap::default(),
             losses: HashMap::default(),
             yielded: HashMap::default(),
         }
@@ -206,21 +210,45 @@
         losses.times.push(now);
     }
 
-    /// Tells whether nobody is heard of those that were.
-    fn alone(&self, now: Timestamp) -> bool {
-        let heard = |p: &Peer| p.info.is_some() && now.since(p.heard) < self.cfg.alone;
-        !self.peers.values().any(heard)
+    /// Tells whether this VM is likely cut off from the others: it has lost
+    /// several owners at once and hears none, or hears few VMs.
+    pub fn cut_off(&self, now: Timestamp) -> bool {
+        let lost = self.lost.values();
+        let lost = lost.filter(|at| now.since(**at) < LOSS_SPAN);
+        let owners_lost = self.owners.is_empty() && lost.count() >= 2;
+        owners_lost || self.minority(now)
+    }
+
+    /// Tells whether this VM hears less than half of the VMs that there were
+    /// lately, or has never heard any. Of two halves the one without the lowest
+    /// address counts as the smaller.
+    fn minority(&self, now: Timestamp) -> bool {
+        let known = self.peers.iter().filter(|(_, p)| p.info.is_some());
+        let heard = |p: &Peer| now.since(p.heard) < self.cfg.alone;
+        let (heard, silent): (Vec<_>, Vec<_>) = known.partition(|(_, p)| heard(p));
+        if heard.is_empty() && silent.is_empty() {
+            return now.since(self.started) >= self.cfg.alone;
+        }
+        let ours = heard.len() + 1;
+        match ours.cmp(&silent.len()) {
+            Ordering::Less => true,
+            Ordering::Greater => false,
+            Ordering::Equal => {
+                let lowest = silent.iter().map(|(ip, _)| IpAddr::V4(**ip)).min();
+                let others = heard.iter().map(|(ip, _)| IpAddr::V4(**ip));
+                lowest < others.chain([self.me.addr.ip()]).min()
+            }
+        }
     }
 
     /// Gives up the shards whose minions another VM takes while this one hears
-    /// nobody: the other is likely heard by the rest, and callers do better
-    /// there.
+    /// few others: callers do better with the one that most of them hear.
     fn give_up_contested(&mut self, now: Timestamp) -> Vec<Change> {
         self.losses.retain(|_, losses| {
             losses.times.retain(|at| now.since(*at) < LOSS_SPAN);
             !losses.times.is_empty()
         });
-        if self.losses.is_empty() || !self.alone(now) {
+        if self.losses.is_empty() || !self.cut_off(now) {
             return Vec::new();
         }
         let contested = self
@@ -257,12 +285,14 @@
         self.owners.retain(|shard, owner| {
             let alive = now.since(owner.heard) < silence;
             if !alive {
+                self.lost.insert(owner.claim.addr, now);
                 changes.push(Change::Lost(shard.clone(), owner.claim.addr));
             }
             alive
         });
         let forget = self.cfg.forget;
         self.peers.retain(|_, p| now.since(p.heard) < forget);
+        self.lost.retain(|_, at| now.since(*at) < LOSS_SPAN);
         changes.extend(self.give_up_contested(now));
         // Remembered for a while longer, so that the next time is longer.
         let most = self.cfg.yield_most;
--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -81,8 +81,16 @@
 
     /// Takes note that a minion has seen a higher token: what runs there is
     /// another owner's now. `refused` is the token that it turned away, `next`
-    /// the one for taking it again. Returns true if the minion had obeyed us.
-    pub fn fenced(&mut self, id: &MinionId, refused: Fence, next: Fence, now: Timestamp) -> bool {
+    /// the one for taking it again; `right` tells that this VM is likely the
+    /// rightful owner. Returns true if the minion had obeyed us.
+    pub fn fenced(
+        &mut self,
+        id: &MinionId,
+        refused: Fence,
+        next: Fence,
+        right: bool,
+        now: Timestamp,
+    ) -> bool {
         let Some(minion) = self.minions.get_mut(id) else {
             return false;
         };
@@ -91,7 +99,7 @@
         }
         let taken = minion.grip != Grip::Taking;
         if taken {
-            minion.contest.lost(now);
+            minion.contest.lost(right, now);
         }
         minion.grip = Grip::Taking;
         minion.fence = next;
--- a/components/schedule/src/contest.rs
+++ b/components/schedule/src/contest.rs
@@ -25,9 +25,10 @@
 }
 
 impl Contest {
-    /// Notes that another VM has taken the minion.
-    pub fn lost(&mut self, now: Timestamp) {
-        let row = self.latest.is_some_and(|at| now.since(at) < FORGET_SPAN);
+    /// Notes that another VM has taken the minion. A VM that is likely in the
+    /// right takes it back soon each time.
+    pub fn lost(&mut self, right: bool, now: Timestamp) {
+        let row = self.latest.is_some_and(|at| now.since(at) < FORGET_SPAN) && !right;
         self.losses = if row { self.losses + 1 } else { 1 };
         self.latest = Some(now);
     }
