Jobs of a VM that has just started wait for the first owner

Change: for 1 s after a VM's start a job that can still be answered in time waits for a shard that can take it.

--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -96,6 +96,25 @@
     }
 }
 
+/// How often a job that waits for the first owner looks for one.
+const OWNER_LOOK: Millis = Millis(20);
+
+/// Waits, on a VM that has just started, until a shard can take the job: after a
+/// loss of all VMs owners come up within some hundred milliseconds, and a caller
+/// that is refused meanwhile is told to come back later than that.
+async fn await_owner<M: Minions>(core: &Core<M>, spec: &JobSpec, start: Timestamp) {
+    let latest = start.after(spec.patience).0;
+    let latest = Timestamp(latest.saturating_sub(spec.critical_path().micros()));
+    loop {
+        let now = core.now();
+        let starting = core.peers().starting(now);
+        if !starting || now >= latest || next_shard(core, spec, &[]).is_some() {
+            return;
+        }
+        tokio::time::sleep(OWNER_LOOK.duration()).await;
+    }
+}
+
 /// Runs a job once.
 async fn attempt<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Outcome {
     let start = core.now();
@@ -103,6 +122,7 @@
         retry: NO_OWNER_RETRY,
     };
     let mut tried: Vec<Shard> = Vec::new();
+    await_owner(core, &spec, start).await;
     while tried.len() < TRIES {
         let left = remaining(&spec, start, core.now());
         let Some(shard) = next_shard(core, &left, &tried) else {
--- /dev/null
+++ b/components/engine/tests/cold_start.rs
@@ -0,0 +1,32 @@
+//! Jobs that come to a VM before any shard has an owner.
+
+mod common;
+
+use common::{Site, free_port, job, vm};
+use engine::Outcome;
+use kernel::Millis;
+use schedule::JobSpec;
+
+#[tokio::test]
+async fn first_jobs() {
+    let site = Site::new(&[32, 48]);
+    let a = vm(1, free_port(), &site).await;
+    assert!(!a.owns());
+    assert_eq!(a.submit(job(1, 2, 30)).await, Outcome::Completed);
+    assert_eq!(site.broken(), []);
+}
+
+#[tokio::test]
+async fn no_time_left() {
+    // Nobody could answer it in time, so it is refused and not kept.
+    let site = Site::new(&[32, 48]);
+    let a = vm(1, free_port(), &site).await;
+    let spec = JobSpec {
+        patience: Millis(40),
+        ..job(1, 2, 100)
+    };
+    let answer = a.submit(spec).await;
+    assert!(matches!(answer, Outcome::Refused { .. }), "{answer:?}");
+    assert!(!a.owns());
+    assert_eq!(site.starts(), 0);
+}
--- a/components/ownership/src/config.rs
+++ b/components/ownership/src/config.rs
@@ -17,6 +17,9 @@
     /// How long a new VM listens before it takes a shard. VMs answer a new one
     /// at once, but the smallest take some hundred milliseconds to start.
     pub listen: Millis,
+    /// How long after its start a VM keeps jobs for the first owner: the time to
+    /// listen, another VM's later start, and the time to take minions.
+    pub start_span: Millis,
     /// How much later each next candidate takes a shard without owner, so that
     /// the first one's beat arrives before.
     pub stagger: Millis,
@@ -42,6 +45,7 @@
             silence: Millis(450),
             idle_silence: Millis(2_200),
             listen: Millis(500),
+            start_span: Millis(1_000),
             stagger: Millis(150),
             abroad: Millis(1_500),
             forget: Millis(30_000),
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -210,6 +210,12 @@
         losses.times.push(now);
     }
 
+    /// Tells whether this VM has started so lately that shards are only being
+    /// taken.
+    pub fn starting(&self, now: Timestamp) -> bool {
+        now.since(self.started) < self.cfg.start_span
+    }
+
     /// Tells whether this VM is likely cut off from the others: it has lost
     /// several owners at once and hears none, or hears few VMs.
     pub fn cut_off(&self, now: Timestamp) -> bool {
