--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -13,6 +13,7 @@
 use crate::control::Minions;
 use crate::core::{Core, lock};
 use crate::drive;
+use crate::handover;
 use crate::owned::{Ending, Owned, Taking};
 
 /// The largest beat in bytes, within one Ethernet frame's worth of fragments.
@@ -88,6 +89,9 @@
             levels(&core, now);
             pull_configuration(&core, now);
             pull_register(&core, now);
+            if !stopping(&core) {
+                handover::hand_to_better(&core, now);
+            }
         }
         send(&core, all, now).await;
     }
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::Millis;
+use kernel::{Millis, Timestamp};
 use ownership::Shard;
 
 use crate::beats;
@@ -51,6 +51,9 @@
     let now = core.now();
     let handover = {
         let mut state = owned.lock();
+        if !state.live {
+            return;
+        }
         // From here on nothing new is started.
         state.live = false;
         state.scheduler.freeze(true);
@@ -95,6 +98,17 @@
     }
 }
 
+/// Hands shards over that another VM should have.
+pub(crate) fn hand_to_better<M: Minions>(core: &Arc<Core<M>>, now: Timestamp) {
+    for shard in core.owned.load().keys() {
+        let better = core.peers().better_owner(shard, now);
+        if let Some(to) = better {
+            let (core, shard) = (core.clone(), shard.clone());
+            tokio::spawn(async move { hand_over(&core, &shard, to).await });
+        }
+    }
+}
+
 /// Takes over a shard with its jobs and runs.
 pub(crate) fn accept<M: Minions>(core: &Arc<Core<M>>, handover: Handover) {
     let Handover {
--- /dev/null
+++ b/components/engine/tests/larger_owner.rs
@@ -0,0 +1,42 @@
+//! A shard goes to a much larger VM that comes up later, with its jobs.
+
+mod common;
+
+use common::{Site, config, eventually, free_port, job};
+use engine::{Configuration, Engine, Outcome};
+use kernel::Millis;
+use ownership::OwnershipConfig;
+
+async fn sized(number: u8, port: u16, site: &Site, share: u32) -> Engine<Site> {
+    let mut cfg = config(number, port);
+    cfg.share = share;
+    cfg.ownership = OwnershipConfig {
+        settle: Millis(600),
+        ..OwnershipConfig::default()
+    };
+    let engine = Engine::start(cfg, site.clone()).await.unwrap();
+    engine.configure(Configuration {
+        version: 1,
+        ..Configuration::default()
+    });
+    engine.register(site.infos());
+    engine
+}
+
+#[tokio::test]
+async fn running_job() {
+    let site = Site::new(&[32, 32]);
+    let port = free_port();
+    let small = sized(1, port, &site, 100).await;
+    eventually("shard taken", || small.owns()).await;
+    let call = {
+        let small = small.clone();
+        tokio::spawn(async move { small.submit(job(1, 2, 4_000)).await })
+    };
+    eventually("tasks run", || site.running() == 2).await;
+    let large = sized(2, port, &site, 250).await;
+    eventually("handed over", || large.owns() && !small.owns()).await;
+    assert_eq!(call.await.unwrap(), Outcome::Completed);
+    assert_eq!(site.starts(), 2);
+    assert_eq!(site.broken(), []);
+}
--- a/components/ownership/src/config.rs
+++ b/components/ownership/src/config.rs
@@ -25,6 +25,9 @@
     pub stagger: Millis,
     /// How much later candidates of other domains do.
     pub abroad: Millis,
+    /// How long a VM must have been heard before a shard is handed to it for
+    /// being nearer or larger: longer than a VM that fails at its start lives.
+    pub settle: Millis,
     /// After how long a silent VM is forgotten.
     pub forget: Millis,
     /// How long another VM is not heard before it counts as one that this VM is
@@ -48,6 +51,7 @@
             start_span: Millis(1_000),
             stagger: Millis(150),
             abroad: Millis(1_500),
+            settle: Millis(3_000),
             forget: Millis(30_000),
             alone: Millis(1_100),
             yield_time: Millis(2_000),
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -17,6 +17,8 @@
     info: Option<VmInfo>,
     /// When it was last heard, or first heard of.
     heard: Timestamp,
+    /// Since when its present process has been heard without a gap.
+    since: Timestamp,
     /// The version of its configuration.
     version: u64,
 }
@@ -121,6 +123,7 @@
         self.peers.entry(addr).or_insert(Peer {
             info: None,
             heard: now,
+            since: now,
             version: 0,
         });
     }
@@ -153,6 +156,7 @@
         let from = beat.from.addr;
         let leaving = beat.from.leaving;
         let peer = Peer {
+            since: self.heard_since(ip, &beat.from, now),
             info: Some(beat.from),
             heard: now,
             version: beat.version,
@@ -168,6 +172,16 @@
             .collect()
     }
 
+    fn heard_since(&self, ip: Ipv4Addr, from: &VmInfo, now: Timestamp) -> Timestamp {
+        let gapless = |p: &&Peer| now.since(p.heard) < self.cfg.idle_silence;
+        let known = self.peers.get(&ip).filter(gapless);
+        let same = known.filter(|p| {
+            let info = p.info.as_ref();
+            info.is_some_and(|i| i.incarnation == from.incarnation)
+        });
+        same.map_or(now, |p| p.since)
+    }
+
     fn hear_report(&mut self, report: Report, leaving: bool, now: Timestamp) -> Option<Change> {
         let Report { shard, claim, load } = report;
         let epoch = self.epochs.entry(shard.clone()).or_default();
@@ -395,6 +409,21 @@
             .cloned()
     }
 
+    /// Returns the VM that should have a shard of ours in our place: one of the
+    /// shard's domain where we are not, or one of at least twice our size. It
+    /// must have been there for a while, as each change costs some work.
+    pub fn better_owner(&self, shard: &Shard, now: Timestamp) -> Option<SocketAddr> {
+        let best = self.successor(shard, false, now)?;
+        let IpAddr::V4(ip) = best.addr.ip() else {
+            return None;
+        };
+        let settled = self.peers.get(&ip)?.since.after(self.cfg.settle) <= now;
+        let own = self.started.after(self.cfg.settle) <= now;
+        let away = self.me.domain != shard.domain;
+        let larger = best.share >= self.me.share.saturating_mul(2);
+        (settled && own && (away || larger)).then_some(best.addr)
+    }
+
     /// Returns the VMs heard of lately.
     pub fn alive(&self, now: Timestamp) -> impl Iterator<Item = &VmInfo> {
         let silence = self.cfg.idle_silence;
--- a/components/ownership/tests/takeover.rs
+++ b/components/ownership/tests/takeover.rs
@@ -304,3 +304,31 @@
     peers.tick(&[shard()], at(500));
     assert!(peers.cut_off(at(500)));
 }
+
+/// Returns when an owner of the given domain and size hands its shard to a VM of
+/// the shard's domain that is heard from 2 s on.
+fn hands_over(me: (&str, u32), other: u32) -> Option<u64> {
+    let me = vm("10.1.0.1:1", me.0, me.1);
+    let other = vm("10.1.0.2:1", "suva-a", other);
+    let mut peers = Peers::new(OwnershipConfig::default(), me, at(0));
+    for ms in (0..10_000).step_by(100) {
+        if ms >= 2_000 {
+            peers.hear(beat(other.clone(), None), at(ms));
+        }
+        if peers.better_owner(&shard(), at(ms)).is_some() {
+            return Some(ms);
+        }
+    }
+    None
+}
+
+#[test]
+fn larger_owner() {
+    assert_eq!(hands_over(("suva-a", 100), 250), Some(5_000));
+    assert_eq!(hands_over(("suva-a", 200), 250), None);
+}
+
+#[test]
+fn nearer_owner() {
+    assert_eq!(hands_over(("nadi-b", 500), 100), Some(5_000));
+}
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -16,3 +16,4 @@
 pub use error::SoakError;
 pub use plan::{Plan, Shape, Step, Trouble, Way};
 pub use play::{Options, Report, play};
+pub use site::{Site, Vm, lasting_queue};
--- a/components/soak/src/site.rs
+++ b/components/soak/src/site.rs
@@ -38,7 +38,8 @@
 static SITES: AtomicU32 = AtomicU32::new(0);
 
 /// A VM with its relays.
-pub(crate) struct Vm {
+#[derive(Debug)]
+pub struct Vm {
     /// Its name.
     pub name: String,
     /// Where callers reach it.
@@ -59,7 +60,8 @@
 }
 
 /// Everything around the callers.
-pub(crate) struct Site {
+#[derive(Debug)]
+pub struct Site {
     /// The minions.
     pub fleet: LeasedFleet,
     /// The VMs.
@@ -87,7 +89,11 @@
 }
 
 /// Returns the queue that every version has.
-pub(crate) fn lasting_queue() -> Result<QueueRecord, SoakError> {
+///
+/// # Errors
+///
+/// Fails when its name is none, which is a fault of this program.
+pub fn lasting_queue() -> Result<QueueRecord, SoakError> {
     queue("lasting")
 }
 
@@ -121,7 +127,12 @@
 }
 
 impl Site {
-    /// Starts all stand-ins, and writes what the VMs need into a folder.
+    /// Starts all stand-ins and VMs, whose settings and logs go into a folder.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound, a file not written or the program
+    /// not started.
     pub async fn start(shape: Shape, program: &Path, folder: &Path) -> Result<Site, SoakError> {
         let site = SITES.fetch_add(1, Ordering::Relaxed);
         let names = (0..shape.domains).map(|i| format!("d{i}").parse());
@@ -252,7 +263,7 @@
         };
         let path = folder.join(format!("{}.conf", place.name));
         write(&path, &settings(&record))?;
-        let log = folder.join(format!("{}.jsonl", place.name));
+        let log = folder.join(format!("{}.log", place.name));
         Ok(Vm {
             name: place.name.clone(),
             front: place.front,
@@ -308,6 +319,10 @@
 
     /// Starts processes again that are down for long enough, kills those that
     /// don't stop, and notes those that have ended by themselves.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program can't be started.
     pub async fn tend(&mut self) -> Result<(), SoakError> {
         let now = Instant::now();
         for (i, vm) in self.vms.iter_mut().enumerate() {
@@ -330,6 +345,15 @@
         Ok(())
     }
 
+    /// Kills a VM's process; it stays down until [`Site::tend`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when the signal can't be sent.
+    pub fn kill_process(&self, vm: usize) -> Result<(), SoakError> {
+        self.vms[vm].process.signal(Signal::SIGKILL)
+    }
+
     /// Kills all processes.
     pub async fn kill_all(&mut self) {
         for vm in &mut self.vms {
@@ -338,6 +362,10 @@
     }
 
     /// Begins a trouble, which is the plan's step of this index.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a signal can't be sent.
     pub async fn begin(
         &mut self,
         trouble: Trouble,
@@ -391,6 +419,10 @@
     }
 
     /// Ends a trouble.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a signal can't be sent, or a minion's address is taken.
     pub async fn end(&mut self, trouble: Trouble) -> Result<(), SoakError> {
         match trouble {
             Trouble::Pause(vm) => self.vms[vm].process.signal(Signal::SIGCONT)?,
