Admission by whole tasks, priority and width

Change: room in whole tasks of the job's size, 300 ms a level, half of the room of higher priorities left to them, work ahead counted 1.5 times, width alone refuses nobody.

--- a/components/schedule/src/admission.rs
+++ b/components/schedule/src/admission.rs
@@ -11,6 +11,19 @@
 /// certain.
 const HOPELESS: f64 = 0.45;
 
+/// How much more the work ahead of a job counts: part of the room that ends
+/// meanwhile is of another size, and jobs that arrive later go ahead of it. A
+/// job that is taken and refused later has only cost its caller time.
+const CAUTION: f64 = 1.5;
+
+/// The part of the work of higher priority that goes on arriving ahead of a job
+/// while it waits; a job with time to spare is not displaced by all of it.
+const URGENT_PART: f64 = 0.5;
+
+/// The part of the room that work of lower priority may count on at least, so
+/// that it is not shut out.
+const LEAST_PART: f64 = 0.1;
+
 /// The hint for a job whose tasks take longer than its caller waits, or that no
 /// minion can hold: trying again soon won't help.
 pub(crate) const HOPELESS_RETRY: Millis = Millis(60_000);
@@ -32,8 +45,14 @@
 pub(crate) struct Backlog {
     /// Core milliseconds of work that goes before the job.
     pub ahead: f64,
-    /// Cores of the minions that may take work.
+    /// Core milliseconds of the job.
+    pub own: f64,
+    /// Core milliseconds that are free for the job while it lasts.
+    pub free: f64,
+    /// Cores that tasks of the job's size can use, free or not.
     pub cores: f64,
+    /// Cores that jobs of higher priority have kept busy lately.
+    pub urgent: f64,
     /// When the last task of the job is expected to end if it starts at once.
     pub expected: Millis,
 }
@@ -50,7 +69,10 @@
             retry: HOPELESS_RETRY,
         };
     }
-    let wait = Millis((load.ahead / load.cores) as u64);
+    let urgent = load.urgent * URGENT_PART;
+    let cores = (load.cores - urgent).max(load.cores * LEAST_PART);
+    let work = (load.ahead * CAUTION + load.own - load.free).max(0.0);
+    let wait = Millis((work / cores) as u64);
     // A job in its objective may use the slack that it has; one that can't meet
     // it is not worth the room of those that can.
     let slack = spec.objective.0.saturating_sub(load.expected.0);
@@ -59,6 +81,13 @@
         .0
         .saturating_sub(load.expected.0 + cfg.reply_slack.0);
     let most = (slack.max((spec.objective.0 as f64 * cfg.refuse_part) as u64)).min(patience);
+    // A job that is too wide for its objective even with nothing before it is
+    // late, but no job is refused for its width alone.
+    let alone = ((load.own - load.free).max(0.0) / cores) as u64;
+    let most = match alone > most {
+        true => (alone + most / 2).min(patience),
+        false => most,
+    };
     if wait.0 > most {
         return Admission::Refused { retry: wait };
     }
--- a/components/schedule/src/lib.rs
+++ b/components/schedule/src/lib.rs
@@ -9,6 +9,7 @@
 mod answers;
 mod config;
 mod contest;
+mod demand;
 mod estimate;
 mod health;
 mod ids;
--- a/components/schedule/src/order.rs
+++ b/components/schedule/src/order.rs
@@ -9,8 +9,9 @@
 use crate::job::Job;
 
 /// How much sooner a job of one priority level higher is taken, in
-/// microseconds; small against objectives, so that no level starves.
-const PRIORITY_STEP_US: u64 = 10_000;
+/// microseconds: about what objectives leave to spare, so that short jobs of a
+/// high level get room while it lasts, and old ones of a low level still do.
+const PRIORITY_STEP_US: u64 = 300_000;
 
 /// How far estimates may be off: a job counts as late when it would be with so
 /// much of its expected time, as refusing it a start on a wrong estimate would
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -7,10 +7,12 @@
 use crate::action::Action;
 use crate::admission::{Admission, Backlog, HOPELESS_RETRY, decide};
 use crate::config::ScheduleConfig;
+use crate::demand::Demand;
 use crate::ids::{JobId, TaskName};
 use crate::job::{Job, JobSpec, Outcome, Step, Summary, TaskState};
 use crate::minion::{Minion, MinionInfo};
 use crate::order::rank;
+use crate::resources::Resources;
 use crate::run::{Phase, Run};
 
 /// How busy a shard is, as told to all entry VMs.
@@ -46,6 +48,8 @@
     pub(crate) past: HashMap<JobId, Past>,
     /// Actual over estimated run time, by queue.
     pub(crate) ratios: HashMap<CompactString, f64>,
+    /// The work that is taken, by priority.
+    pub(crate) demand: Demand,
     pub(crate) actions: Vec<Action>,
     /// True while the shard is being handed over: nothing is decided.
     pub(crate) frozen: bool,
@@ -61,6 +65,7 @@
             queue: Vec::new(),
             past: HashMap::default(),
             ratios: HashMap::default(),
+            demand: Demand::default(),
             actions: Vec::new(),
             frozen: false,
         }
@@ -154,17 +159,22 @@
         let last = self.past.get(&spec.id).map_or(RunNumber(0), |p| p.last);
         let job = Job::new(spec, last, now, expected);
         let mine = rank(&job, now);
-        let load = self.load(now);
         let ahead = self.queue.iter().filter_map(|id| self.jobs.get(id));
         let ahead = ahead.filter(|j| rank(j, now) <= mine);
         let ahead: f64 = ahead.map(|j| self.waiting_work(j)).sum();
+        let (free, cores) = self.room_for(&job.spec.steps[0].need, now);
         let backlog = Backlog {
-            ahead: (ahead + self.waiting_work(&job) - load.free * expected.0 as f64).max(0.0),
-            cores: load.cores,
+            ahead,
+            own: self.waiting_work(&job),
+            free: free * expected.0 as f64,
+            cores,
+            urgent: self.demand.above(job.spec.priority, now),
             expected,
         };
         let admission = decide(&job.spec, backlog, &self.cfg);
         if admission == Admission::Taken {
+            let work = self.waiting_work(&job);
+            self.demand.add(job.spec.priority, work, now);
             let id = job.spec.id.clone();
             self.queue.push(id.clone());
             self.jobs.insert(id, job);
@@ -173,6 +183,19 @@
         admission
     }
 
+    /// Returns how many cores tasks of this size can use now, and in all.
+    fn room_for(&self, need: &Resources, now: Timestamp) -> (f64, f64) {
+        let size = need.cpu.0.max(1);
+        let mut free = 0;
+        let mut whole = 0;
+        for minion in self.minions.values().filter(|m| m.open(now)) {
+            free += minion.room().cpu.0 / size;
+            whole += minion.info.capacity.cpu.0 / size;
+        }
+        let cores = |tasks: u32| f64::from(tasks) * f64::from(size) / 1000.0;
+        (cores(free), cores(whole))
+    }
+
     /// Tells whether minions here could hold each task if they were empty.
     fn holds(&self, spec: &JobSpec) -> bool {
         let fits = |step: &Step| {
