--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod beat;
 mod config;
+mod contested;
 mod peers;
 mod shard;
 mod token;
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -1,26 +1,26 @@
 //! What a VM knows of the others, and when it takes a shard itself.
 
-use std::cmp::Ordering;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use kernel::{Epoch, HashMap, Millis, Timestamp, key_hash};
+use kernel::{Epoch, HashMap, Timestamp, key_hash};
 use schedule::Load;
 
 use crate::beat::{Beat, Claim, Report, VmInfo};
 use crate::config::OwnershipConfig;
+use crate::contested::{LOSS_SPAN, Losses, Yielded};
 use crate::shard::Shard;
 
 /// Another VM.
 #[derive(Debug, Clone)]
-struct Peer {
+pub(crate) struct Peer {
     /// What it last said; nothing if it was only heard of.
-    info: Option<VmInfo>,
+    pub(crate) info: Option<VmInfo>,
     /// When it was last heard, or first heard of.
-    heard: Timestamp,
+    pub(crate) heard: Timestamp,
     /// Since when its present process has been heard without a gap.
-    since: Timestamp,
+    pub(crate) since: Timestamp,
     /// The version of its configuration.
-    version: u64,
+    pub(crate) version: u64,
 }
 
 /// The owner of a shard as far as this VM knows.
@@ -49,47 +49,26 @@
     Contested(Shard),
 }
 
-/// How long the loss of an owner or a minion counts.
-const LOSS_SPAN: Millis = Millis(5_000);
-
-/// Minions of a shard that another VM has taken.
-#[derive(Debug, Clone, Default)]
-struct Losses {
-    /// How many minions the shard has.
-    minions: usize,
-    /// When each loss was.
-    times: Vec<Timestamp>,
-}
-
-/// A shard that was given up as contested.
-#[derive(Debug, Clone, Copy)]
-struct Yielded {
-    /// Until when it is left alone.
-    until: Timestamp,
-    /// How often in a row.
-    times: u32,
-}
-
 /// The VMs and shards as one VM sees them.
 #[derive(Debug)]
 pub struct Peers {
-    cfg: OwnershipConfig,
-    me: VmInfo,
-    started: Timestamp,
-    peers: HashMap<Ipv4Addr, Peer>,
-    owners: HashMap<Shard, Owner>,
+    pub(crate) cfg: OwnershipConfig,
+    pub(crate) me: VmInfo,
+    pub(crate) started: Timestamp,
+    pub(crate) peers: HashMap<Ipv4Addr, Peer>,
+    pub(crate) owners: HashMap<Shard, Owner>,
     /// Shards that this VM owns.
-    mine: HashMap<Shard, Claim>,
+    pub(crate) mine: HashMap<Shard, Claim>,
     /// The highest epoch heard of.
-    epochs: HashMap<Shard, Epoch>,
+    pub(crate) epochs: HashMap<Shard, Epoch>,
     /// Since when a shard has had no owner.
-    vacant: HashMap<Shard, Timestamp>,
+    pub(crate) vacant: HashMap<Shard, Timestamp>,
     /// Owners that are not heard any more, and since when.
-    lost: HashMap<SocketAddr, Timestamp>,
+    pub(crate) lost: HashMap<SocketAddr, Timestamp>,
     /// Losses of minions of own shards.
-    losses: HashMap<Shard, Losses>,
+    pub(crate) losses: HashMap<Shard, Losses>,
     /// Shards that were given up as contested.
-    yielded: HashMap<Shard, Yielded>,
+    pub(crate) yielded: HashMap<Shard, Yielded>,
 }
 
 impl Peers {
@@ -216,88 +195,12 @@
         self.owners.insert(shard.clone(), owner);
     }
 
-    /// Takes note that another VM has taken a minion of a shard of ours, one of
-    /// `minions`.
-    pub fn lost_minion(&mut self, shard: &Shard, minions: usize, now: Timestamp) {
-        let losses = self.losses.entry(shard.clone()).or_default();
-        losses.minions = minions;
-        losses.times.push(now);
-    }
-
     /// Tells whether this VM has started so lately that shards are only being
     /// taken.
     pub fn starting(&self, now: Timestamp) -> bool {
         now.since(self.started) < self.cfg.start_span
     }
 
-    /// Tells whether this VM is likely cut off from the others: it has lost
-    /// several owners at once and hears none, or hears few VMs.
-    pub fn cut_off(&self, now: Timestamp) -> bool {
-        let lost = self.lost.values();
-        let lost = lost.filter(|at| now.since(**at) < LOSS_SPAN);
-        let owners_lost = self.owners.is_empty() && lost.count() >= 2;
-        owners_lost || self.minority(now)
-    }
-
-    /// Tells whether this VM hears less than half of the VMs that there were
-    /// lately, or has never heard any. Of two halves the one without the lowest
-    /// address counts as the smaller.
-    fn minority(&self, now: Timestamp) -> bool {
-        let known = self.peers.iter().filter(|(_, p)| p.info.is_some());
-        let heard = |p: &Peer| now.since(p.heard) < self.cfg.alone;
-        let (heard, silent): (Vec<_>, Vec<_>) = known.partition(|(_, p)| heard(p));
-        if heard.is_empty() && silent.is_empty() {
-            return now.since(self.started) >= self.cfg.alone;
-        }
-        let ours = heard.len() + 1;
-        match ours.cmp(&silent.len()) {
-            Ordering::Less => true,
-            Ordering::Greater => false,
-            Ordering::Equal => {
-                let lowest = silent.iter().map(|(ip, _)| IpAddr::V4(**ip)).min();
-                let others = heard.iter().map(|(ip, _)| IpAddr::V4(**ip));
-                lowest < others.chain([self.me.addr.ip()]).min()
-            }
-        }
-    }
-
-    /// Gives up the shards whose minions another VM takes while this one hears
-    /// few others: callers do better with the one that most of them hear.
-    fn give_up_contested(&mut self, now: Timestamp) -> Vec<Change> {
-        self.losses.retain(|_, losses| {
-            losses.times.retain(|at| now.since(*at) < LOSS_SPAN);
-            !losses.times.is_empty()
-        });
-        if self.losses.is_empty() || !self.cut_off(now) {
-            return Vec::new();
-        }
-        let contested = self
-            .losses
-            .iter()
-            .filter(|(_, l)| l.times.len() * 2 >= l.minions);
-        let contested: Vec<Shard> = contested.map(|(shard, _)| shard.clone()).collect();
-        let mut changes = Vec::new();
-        for shard in contested {
-            self.losses.remove(&shard);
-            let Some(claim) = self.mine.remove(&shard) else {
-                continue;
-            };
-            // Nobody has heard the claim, so it must not win over theirs later.
-            self.epochs
-                .insert(shard.clone(), Epoch(claim.epoch.0.saturating_sub(1)));
-            let times = self.yielded.get(&shard).map_or(0, |y| y.times);
-            let span = self.cfg.yield_time.0 << times.min(16);
-            let until = now.after(Millis(span).min(self.cfg.yield_most));
-            let yielded = Yielded {
-                until,
-                times: times + 1,
-            };
-            self.yielded.insert(shard.clone(), yielded);
-            changes.push(Change::Contested(shard));
-        }
-        changes
-    }
-
     /// Does what time asks for, given the shards that there are.
     pub fn tick(&mut self, shards: &[Shard], now: Timestamp) -> Vec<Change> {
         let mut changes = Vec::new();
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -10,10 +10,12 @@
 mod play;
 mod process;
 mod site;
+mod vm;
 
 pub use book::{Attempt, Book, Record};
 pub use check::{Fault, check};
 pub use error::SoakError;
 pub use plan::{Plan, Shape, Step, Trouble, Way};
 pub use play::{Options, Report, play};
-pub use site::{Site, Vm, lasting_queue};
+pub use site::{Site, lasting_queue};
+pub use vm::Vm;
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -197,7 +197,7 @@
     let vm = rng.random_range(0..shape.vms);
     let minion = rng.random_range(0..shape.minions * shape.domains);
     let domain = rng.random_range(0..shape.domains);
-    let share = rng.random_range(0.05..0.4);
+    let share = rng.random_range(0.05..0.7);
     match rng.random_range(0..24) {
         0 | 1 => Trouble::Kill(vm),
         2 => Trouble::KillAll,
--- a/components/soak/src/site.rs
+++ b/components/soak/src/site.rs
@@ -1,29 +1,21 @@
-//! A site on loopback: VM processes, the relays between them, and stand-ins for
-//! all else.
+//! A site on loopback: VM processes, and stand-ins for all else.
 
-use std::fs;
-use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use kernel::{Domain, Gpus, HashMap, Mebibytes, MilliCores, Millis, MinionId, Service};
+use kernel::{Domain, Gpus, Mebibytes, MilliCores, Millis, MinionId, Service};
 use nix::sys::signal::Signal;
 use platform_standin::{
-    Door, MinionFace, OrderFaults, QueueRecord, StoreMode, StoreStandin, Topic, VmRecord,
-    configuration, minion, settings,
+    MinionFace, OrderFaults, QueueRecord, StoreMode, StoreStandin, Topic, configuration, minion,
 };
 use schedule::{MinionInfo, Resources};
-use standins::{DatagramRelay, Endpoint, Hops, LeasedFleet, Net, Relay};
+use standins::{Endpoint, Hops, LeasedFleet, Net, Relay};
 
 use crate::error::SoakError;
 use crate::plan::{Shape, Trouble, Way};
-use crate::process::Process;
-
-/// How long a stopping process may take before it is killed, as the platform
-/// does it (`bounds.grace-s` of the settings).
-const GRACE: Duration = Duration::from_secs(6);
+use crate::vm::{Around, Place, Vm};
 
 /// The processors of a minion in cores; every fourth is larger.
 const CORES: [u32; 4] = [32, 32, 32, 48];
@@ -37,28 +29,6 @@
 /// Counts the sites of this process, so that each has addresses of its own.
 static SITES: AtomicU32 = AtomicU32::new(0);
 
-/// A VM with its relays.
-#[derive(Debug)]
-pub struct Vm {
-    /// Its name.
-    pub name: String,
-    /// Where callers reach it.
-    pub front: SocketAddr,
-    /// Where it tells whether it is ready.
-    pub ready: SocketAddr,
-    process: Process,
-    door: Door,
-    /// Where others call it; the relay passes on to it.
-    called: Relay,
-    /// To the store and to each minion.
-    opened: Vec<Relay>,
-    _beats: DatagramRelay,
-    /// Until when it is not started again.
-    down: Option<Instant>,
-    /// When it is killed, as it was asked to stop.
-    kill: Option<Instant>,
-}
-
 /// Everything around the callers.
 #[derive(Debug)]
 pub struct Site {
@@ -110,22 +80,6 @@
     })
 }
 
-/// Returns an address of loopback that only this site uses.
-fn address(site: u32, host: u8) -> Ipv4Addr {
-    let key = std::process::id().wrapping_mul(16).wrapping_add(site);
-    let [.., high, low] = key.to_be_bytes();
-    Ipv4Addr::new(127, 1 + high % 250, low, host)
-}
-
-/// The first host of VMs' own addresses, and of those where others call them.
-const VM_HOST: u8 = 1;
-const CALLED_HOST: u8 = 128;
-
-fn free_port(ip: Ipv4Addr) -> Result<u16, SoakError> {
-    let listener = TcpListener::bind((ip, 0)).and_then(|l| l.local_addr());
-    Ok(listener.map_err(SoakError::Bind)?.port())
-}
-
 impl Site {
     /// Starts all stand-ins and VMs, whose settings and logs go into a folder.
     ///
@@ -158,9 +112,19 @@
         whole.open_faces().await?;
         whole.publish_configuration()?;
         whole.beat();
-        let places = whole.place_vms(shape, site)?;
+        let places = Place::find(site, shape.vms, &whole.domains)?;
         for place in &places {
-            let vm = whole.open_vm(place, &places, program, folder).await?;
+            whole.net.register(place.calls(), place.endpoint());
+            whole.net.register(place.datagrams(), place.endpoint());
+        }
+        for place in &places {
+            let around = Around {
+                net: &whole.net,
+                store: &whole.store,
+                faces: &whole.faces,
+                domains: &whole.domains,
+            };
+            let vm = Vm::open(place, &places, &around, program, folder).await?;
             whole.vms.push(vm);
         }
         for vm in &mut whole.vms {
@@ -184,100 +148,6 @@
         Ok(())
     }
 
-    fn place_vms(&self, shape: Shape, site: u32) -> Result<Vec<Place>, SoakError> {
-        let first = address(site, VM_HOST);
-        let peers = free_port(first)?;
-        let beats = free_port(first)?;
-        let mut places = Vec::new();
-        for i in 0..shape.vms {
-            let ip = address(site, VM_HOST + i as u8);
-            places.push(Place {
-                name: format!("vm-{i}"),
-                domain: self.domains[i % self.domains.len()].clone(),
-                ip,
-                called: address(site, CALLED_HOST + i as u8),
-                front: SocketAddr::from((ip, free_port(ip)?)),
-                ready: SocketAddr::from((ip, free_port(ip)?)),
-                peers,
-                beats,
-            });
-        }
-        for place in &places {
-            let end = Endpoint::inside(&place.domain, &place.name);
-            let calls = SocketAddr::from((place.called, peers));
-            let datagrams = SocketAddr::from((place.called, beats));
-            self.net.register(calls, end.clone());
-            self.net.register(datagrams, end);
-        }
-        Ok(places)
-    }
-
-    /// Opens a VM's relays and writes its settings.
-    async fn open_vm(
-        &self,
-        place: &Place,
-        all: &[Place],
-        program: &Path,
-        folder: &Path,
-    ) -> Result<Vm, SoakError> {
-        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let own = Endpoint::inside(&place.domain, &place.name);
-        let net = self.net.at(own);
-        let door = self.store.open(any).await.map_err(SoakError::Bind)?;
-        self.net.register(door.addr(), Endpoint::platform());
-        let mut opened = vec![relay(any, door.addr(), &net).await?];
-        let store = opened[0].addr();
-        for face in &self.faces {
-            let relay = relay(any, face.addr(), &net).await?;
-            door.detour(face.addr(), relay.addr());
-            opened.push(relay);
-        }
-        let calls = SocketAddr::from((place.called, place.peers));
-        let own_calls = SocketAddr::from((place.ip, place.peers));
-        // Who calls can't be told from a connection, so only faults of the
-        // called one hold it up.
-        let called = relay(calls, own_calls, &self.net).await?;
-        let senders = all.iter().map(|p| {
-            let end = Endpoint::inside(&p.domain, &p.name);
-            (IpAddr::from(p.ip), self.net.at(end))
-        });
-        let senders: HashMap<IpAddr, Net> = senders.collect();
-        let datagrams = SocketAddr::from((place.called, place.beats));
-        let own_beats = SocketAddr::from((place.ip, place.beats));
-        let beats = DatagramRelay::start(datagrams, own_beats, senders).await;
-        let beats = beats.map_err(SoakError::Bind)?;
-        let seeds = all.iter().take(3);
-        let record = VmRecord {
-            name: place.name.clone(),
-            ip: place.ip,
-            domain: place.domain.clone(),
-            domains: self.domains.clone(),
-            front: place.front,
-            ready: place.ready,
-            peers: calls,
-            beats: place.beats,
-            seeds: seeds
-                .map(|p| SocketAddr::from((p.called, p.peers)))
-                .collect(),
-            store,
-        };
-        let path = folder.join(format!("{}.conf", place.name));
-        write(&path, &settings(&record))?;
-        let log = folder.join(format!("{}.log", place.name));
-        Ok(Vm {
-            name: place.name.clone(),
-            front: place.front,
-            ready: place.ready,
-            process: Process::new(program, path, log),
-            door,
-            called,
-            opened,
-            _beats: beats,
-            down: None,
-            kill: None,
-        })
-    }
-
     /// Publishes the next version, with a queue of its own.
     fn publish_configuration(&mut self) -> Result<(), SoakError> {
         let version = self.versions.last().map_or(1, |(v, _)| v + 3);
@@ -326,21 +196,9 @@
     pub async fn tend(&mut self) -> Result<(), SoakError> {
         let now = Instant::now();
         for (i, vm) in self.vms.iter_mut().enumerate() {
-            if vm.process.runs() {
-                if vm.kill.is_some_and(|at| now >= at) {
-                    vm.process.kill().await;
-                }
-                continue;
-            }
-            let asked = vm.kill.is_some() || vm.down.is_some();
-            if !asked {
+            if vm.tend(now).await? {
                 self.ended.push(i);
             }
-            if vm.down.is_none_or(|until| now >= until) {
-                vm.kill = None;
-                vm.down = None;
-                vm.process.start()?;
-            }
         }
         Ok(())
     }
@@ -374,18 +232,13 @@
     ) -> Result<(), SoakError> {
         let until = Instant::now() + span.duration();
         match trouble {
-            Trouble::Kill(vm) => self.kill(vm, until).await,
+            Trouble::Kill(vm) => self.vms[vm].kill(until).await,
             Trouble::KillAll => {
-                for vm in 0..self.vms.len() {
-                    self.kill(vm, until).await;
+                for vm in &mut self.vms {
+                    vm.kill(until).await;
                 }
             }
-            Trouble::Stop(vm) => {
-                let vm = &mut self.vms[vm];
-                vm.process.signal(Signal::SIGTERM)?;
-                vm.kill = Some(Instant::now() + GRACE);
-                vm.down = Some(until);
-            }
+            Trouble::Stop(vm) => self.vms[vm].stop(until)?,
             Trouble::Pause(vm) => self.vms[vm].process.signal(Signal::SIGSTOP)?,
             Trouble::Isolate(vm) => self.net.pause(&self.vms[vm].name),
             Trouble::Part(vm, way) => self.part(vm, way, true),
@@ -448,12 +301,6 @@
         Ok(())
     }
 
-    async fn kill(&mut self, vm: usize, until: Instant) {
-        let vm = &mut self.vms[vm];
-        vm.process.kill().await;
-        vm.down = Some(until);
-    }
-
     fn part(&self, vm: usize, way: Way, on: bool) {
         let one = &self.vms[vm];
         for other in self.vms.iter().filter(|o| o.name != one.name) {
@@ -494,23 +341,6 @@
     }
 }
 
-/// Where a VM listens and is called.
-struct Place {
-    name: String,
-    domain: Domain,
-    ip: Ipv4Addr,
-    called: Ipv4Addr,
-    front: SocketAddr,
-    ready: SocketAddr,
-    peers: u16,
-    beats: u16,
-}
-
-async fn relay(listen: SocketAddr, target: SocketAddr, net: &Net) -> Result<Relay, SoakError> {
-    let relay = Relay::start(listen, target, net.clone()).await;
-    relay.map_err(SoakError::Bind)
-}
-
 fn minions(domains: &[Domain], each: usize) -> Result<Vec<MinionInfo>, SoakError> {
     let mut infos = Vec::new();
     for domain in domains {
@@ -534,8 +364,3 @@
     }
     Ok(infos)
 }
-
-fn write(path: &PathBuf, text: &str) -> Result<(), SoakError> {
-    let written: io::Result<()> = fs::write(path, text);
-    written.map_err(|e| SoakError::File(path.clone(), e))
-}
