--- a/components/soak/src/vm.rs
+++ b/components/soak/src/vm.rs
@@ -44,8 +44,8 @@
     /// Finds free addresses for `count` VMs, dealt out to the domains in turn.
     pub fn find(site: u32, count: usize, domains: &[Domain]) -> Result<Vec<Place>, SoakError> {
         let first = address(site, VM_HOST);
-        let peers = free_port(first)?;
-        let beats = free_port(first)?;
+        let peers = free_port(first, &[])?;
+        let beats = free_port(first, &[peers])?;
         let mut places = Vec::new();
         for i in 0..count {
             let ip = address(site, VM_HOST + i as u8);
@@ -54,8 +54,8 @@
                 domain: domains[i % domains.len()].clone(),
                 ip,
                 called: address(site, CALLED_HOST + i as u8),
-                front: SocketAddr::from((ip, free_port(ip)?)),
-                ready: SocketAddr::from((ip, free_port(ip)?)),
+                front: SocketAddr::from((ip, free_port(ip, &[peers, beats])?)),
+                ready: SocketAddr::from((ip, free_port(ip, &[peers, beats])?)),
                 peers,
                 beats,
             });
@@ -86,9 +86,16 @@
     Ipv4Addr::new(127, 1 + high % 250, low, host)
 }
 
-fn free_port(ip: Ipv4Addr) -> Result<u16, SoakError> {
-    let listener = TcpListener::bind((ip, 0)).and_then(|l| l.local_addr());
-    Ok(listener.map_err(SoakError::Bind)?.port())
+/// Returns a free port that is none of those promised to others, which are not
+/// in use yet.
+fn free_port(ip: Ipv4Addr, promised: &[u16]) -> Result<u16, SoakError> {
+    loop {
+        let listener = TcpListener::bind((ip, 0)).and_then(|l| l.local_addr());
+        let port = listener.map_err(SoakError::Bind)?.port();
+        if !promised.contains(&port) {
+            return Ok(port);
+        }
+    }
 }
 
 /// What stands around the VMs.
