--- a/components/engine/tests/common/mod.rs
+++ b/components/engine/tests/common/mod.rs
@@ -93,11 +93,9 @@
     }
 }
 
-/// Starts a VM that knows the site's register.
-pub async fn vm(number: u8, port: u16, site: &Site) -> Engine<Site> {
-    let engine = Engine::start(config(number, port), site.clone())
-        .await
-        .unwrap();
+/// Starts a VM that has a configuration and knows the site's register.
+pub async fn serve<M: Minions>(cfg: EngineConfig, minions: M, site: &Site) -> Engine<M> {
+    let engine = Engine::start(cfg, minions).await.unwrap();
     engine.configure(Configuration {
         version: 1,
         ..Configuration::default()
@@ -106,6 +104,23 @@
     engine
 }
 
+/// Starts the VM at 127.0.0.`number`.
+pub async fn vm(number: u8, port: u16, site: &Site) -> Engine<Site> {
+    serve(config(number, port), site.clone(), site).await
+}
+
+/// Starts two VMs and waits until one owns the shard and both know it.
+pub async fn pair(site: &Site) -> (Engine<Site>, Engine<Site>) {
+    let port = free_port();
+    let a = vm(1, port, site).await;
+    let b = vm(2, port, site).await;
+    eventually("one owner, known to both", || {
+        a.owns() != b.owns() && a.ready() && b.ready()
+    })
+    .await;
+    (a, b)
+}
+
 /// Returns a job whose tasks of 14 cores take `span` milliseconds.
 pub fn job(number: u64, tasks: u16, span: u64) -> JobSpec {
     JobSpec {
--- a/components/engine/tests/larger_owner.rs
+++ b/components/engine/tests/larger_owner.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{Site, config, eventually, free_port, job};
-use engine::{Configuration, Engine, Outcome};
+use common::{Site, config, eventually, free_port, job, serve};
+use engine::{Engine, Outcome};
 use kernel::Millis;
 use ownership::OwnershipConfig;
 
@@ -14,13 +14,7 @@
         settle: Millis(600),
         ..OwnershipConfig::default()
     };
-    let engine = Engine::start(cfg, site.clone()).await.unwrap();
-    engine.configure(Configuration {
-        version: 1,
-        ..Configuration::default()
-    });
-    engine.register(site.infos());
-    engine
+    serve(cfg, site.clone(), site).await
 }
 
 #[tokio::test]
--- a/components/engine/tests/planned_stop.rs
+++ b/components/engine/tests/planned_stop.rs
@@ -2,19 +2,13 @@
 
 mod common;
 
-use common::{Site, config, eventually, free_port, job, vm};
+use common::{Site, config, eventually, free_port, job, pair, serve};
 use engine::{Engine, Outcome};
 
 #[tokio::test]
 async fn running_job() {
     let site = Site::new(&[32, 32]);
-    let port = free_port();
-    let a = vm(1, port, &site).await;
-    let b = vm(2, port, &site).await;
-    eventually("one owner, known to both", || {
-        a.owns() != b.owns() && a.ready() && b.ready()
-    })
-    .await;
+    let (a, b) = pair(&site).await;
     let (old, new) = if a.owns() { (a, b) } else { (b, a) };
     let calls: Vec<_> = [&old, &new]
         .into_iter()
@@ -43,12 +37,7 @@
     let port = free_port();
     let mut first = config(1, port);
     first.linger = kernel::Millis(5_000);
-    let a = Engine::start(first, site.clone()).await.unwrap();
-    a.configure(engine::Configuration {
-        version: 1,
-        ..engine::Configuration::default()
-    });
-    a.register(site.infos());
+    let a = serve(first, site.clone(), &site).await;
     eventually("shard taken", || a.owns()).await;
     let leaving = {
         let a = a.clone();
--- a/components/engine/tests/silent_start.rs
+++ b/components/engine/tests/silent_start.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use common::{Site, config, eventually, free_port, job};
-use engine::{Configuration, Engine, HoldReply, Minions, Outcome, StopReply};
+use common::{Site, config, eventually, free_port, job, serve};
+use engine::{HoldReply, Minions, Outcome, StopReply};
 use kernel::MinionId;
 use schedule::{HoldOrder, StartOrder, StartReply, StopOrder};
 
@@ -41,13 +41,7 @@
         site: site.clone(),
         starts: Arc::default(),
     };
-    let engine = Engine::start(config(1, free_port()), minions).await;
-    let engine = engine.unwrap();
-    engine.configure(Configuration {
-        version: 1,
-        ..Configuration::default()
-    });
-    engine.register(site.infos());
+    let engine = serve(config(1, free_port()), minions, &site).await;
     eventually("shard taken", || engine.owns()).await;
     assert_eq!(engine.submit(job(1, 1, 30)).await, Outcome::Completed);
     assert_eq!(site.starts(), 1);
--- a/components/engine/tests/whole_path.rs
+++ b/components/engine/tests/whole_path.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Site, eventually, free_port, job, vm};
+use common::{Site, eventually, free_port, job, pair, vm};
 use engine::Outcome;
 
 #[tokio::test]
@@ -18,13 +18,7 @@
 #[tokio::test]
 async fn other_owner() {
     let site = Site::new(&[32, 48]);
-    let port = free_port();
-    let a = vm(1, port, &site).await;
-    let b = vm(2, port, &site).await;
-    eventually("one owner, known to both", || {
-        a.owns() != b.owns() && a.ready() && b.ready()
-    })
-    .await;
+    let (a, b) = pair(&site).await;
     let (x, y) = tokio::join!(a.submit(job(1, 4, 30)), b.submit(job(2, 4, 30)));
     assert_eq!((x, y), (Outcome::Completed, Outcome::Completed));
     assert_eq!(site.broken(), []);
--- a/components/soak/src/book.rs
+++ b/components/soak/src/book.rs
@@ -1,8 +1,9 @@
 //! What callers asked for and were told.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use platform_standin::{Answer, Job};
+use standins::lock;
 
 /// One sending of a job.
 #[derive(Debug, Clone, Copy)]
@@ -38,7 +39,7 @@
 
 impl Book {
     fn lock(&self) -> MutexGuard<'_, Vec<Record>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 
     /// Enters a job and returns its place.
--- a/components/standins/src/leased_fleet.rs
+++ b/components/standins/src/leased_fleet.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use kernel::{LeaseTime, MinionId, RunNumber};
@@ -12,6 +12,7 @@
 };
 
 use crate::leased::LeasedMinion;
+use crate::listener::lock;
 use crate::work::Work;
 
 /// How often a waiting hold looks for an end.
@@ -188,7 +189,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// Brings all minions to the present and returns their state.
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -18,7 +18,7 @@
 pub use leased::LeasedMinion;
 pub use leased_fleet::{Absent, Breach, LeasedFleet, RunEnd, RunStart, breaches};
 pub use ledger::{Ledger, Start};
-pub use listener::{HangUp, Listener, Serve};
+pub use listener::{HangUp, Listener, Serve, lock};
 pub use minion::{MinionConfig, MinionStandin, TaskReply};
 pub use net::Net;
 pub use platform::{PlatformConfig, PlatformStandin, Retention};
--- a/components/standins/src/listener.rs
+++ b/components/standins/src/listener.rs
@@ -144,7 +144,7 @@
 }
 
 /// Locks a mutex, also behind a thread that panicked.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/components/standins/src/net.rs
+++ b/components/standins/src/net.rs
@@ -105,18 +105,6 @@
         });
     }
 
-    /// Ends every fault but connections that have gone silent for good.
-    pub fn heal_all(&self) {
-        self.change(|t| {
-            *t = Table {
-                places: std::mem::take(&mut t.places),
-                silent: std::mem::take(&mut t.silent),
-                hops: t.hops,
-                ..Table::default()
-            };
-        });
-    }
-
     /// Tells whether a datagram of this process gets to an address now.
     pub(crate) fn passes(&self, to: SocketAddr) -> bool {
         let link = Link {
