Divide a domain into as many shards as its VMs have room for

Cause: one VM owns a whole failure domain, whatever its size. Ruled out: processor time (0.018 core of 0.12 at most), memory (5 MB), descriptors (192 of 4,100). A domain without owners is divided into the least power of two of shards that fit its VMs, and VMs with room go first; shards of different divisions overlap and the claims settle which stands. One VM with room for all of them owns the domain as before.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -16,6 +16,7 @@
 use crate::drive;
 use crate::handover;
 use crate::owned::{Ending, Owned, TakePolicy};
+use crate::traffic::Meter;
 
 /// Maximum size of a heartbeat in bytes: a few fragments of one Ethernet frame
 /// each.
@@ -40,6 +41,8 @@
                 continue;
             }
         };
+        core.metrics.add(Count::HeartbeatReceived, 1);
+        core.metrics.add(Count::HeartbeatBytesIn, size as u64);
         let heartbeat = match decode::<Heartbeat>(&buffer[..size]) {
             Ok(heartbeat) => heartbeat,
             Err(e) => {
@@ -72,10 +75,11 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut last_sent = Timestamp(0);
     let mut last_full = Timestamp(0);
+    let mut meter = Meter::default();
     loop {
         ticks.tick().await;
         let now = core.now();
-        let shards = all_shards(&core);
+        let shards = all_shards(&core, now);
         let changes = core.peers().tick(&shards, now);
         let urgent = !changes.is_empty();
         apply_changes(&core, changes);
@@ -90,6 +94,7 @@
         if all {
             last_full = now;
             set_gauges(&core, now);
+            meter.update(&core, now);
             pull_configuration(&core, now);
             pull_register(&core, now);
             if !stopping(&core) {
@@ -115,15 +120,12 @@
 }
 
 /// Returns all shards of the site.
-fn all_shards<M>(core: &Core<M>) -> Vec<Shard> {
-    let indices = 0..core.cfg.shards;
-    let all = core.cfg.domains.iter().flat_map(|domain| {
-        indices.clone().map(|index| Shard {
-            domain: domain.clone(),
-            index,
-        })
-    });
-    all.collect()
+fn all_shards<M>(core: &Core<M>, now: Timestamp) -> Vec<Shard> {
+    let peers = core.peers();
+    let domains = core.cfg.domains.iter();
+    domains
+        .flat_map(|domain| peers.shards(domain, core.cfg.shards, now))
+        .collect()
 }
 
 /// Cancels the jobs of an owned shard that nobody waits for any more, and lets
@@ -281,6 +283,9 @@
             return;
         }
     };
+    core.metrics.add(Count::HeartbeatSent, targets.len() as u64);
+    let size = bytes.len() * targets.len();
+    core.metrics.add(Count::HeartbeatBytes, size as u64);
     for addr in targets {
         let to = SocketAddr::from((*addr, core.cfg.heartbeat_port));
         if let Err(e) = core.socket.send_to(&bytes, to).await {
--- a/components/engine/src/config.rs
+++ b/components/engine/src/config.rs
@@ -23,9 +23,12 @@
     pub domains: Vec<Domain>,
     /// This VM's share of a processor in thousandths.
     pub share: u32,
+    /// Number of minions that this VM can own.
+    pub room: u32,
     /// Addresses at which other VMs may be.
     pub seeds: Vec<Ipv4Addr>,
-    /// Number of shards in each failure domain; must be equal on all VMs.
+    /// Least number of shards in each failure domain. It has more if its VMs are
+    /// too small for that number.
     pub shards: u16,
     /// Settings of shard ownership.
     pub ownership: OwnershipConfig,
--- a/components/engine/src/control.rs
+++ b/components/engine/src/control.rs
@@ -5,6 +5,7 @@
 
 use kernel::MinionId;
 use schedule::{HoldOrder, LeaseTime, Listing, StartOrder, StartReply, StopOrder};
+use wire::Traffic;
 
 /// Result of a stop order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +40,12 @@
     /// Stops a run.
     fn stop(&self, order: &StopOrder) -> impl Future<Output = StopReply> + Send;
 
+    /// Returns the connections opened and the bytes of all calls so far; zero
+    /// for an implementation without a network.
+    fn traffic(&self) -> Traffic {
+        Traffic::default()
+    }
+
     /// Renews a minion's lease and lists its runs.
     fn hold(&self, id: &MinionId, order: &HoldOrder) -> impl Future<Output = HoldReply> + Send;
 }
--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -228,7 +228,7 @@
     scheduler: &mut Scheduler,
     register: &[MinionInfo],
 ) {
-    let shards = core.cfg.shards;
+    let shards = owned.shard.count;
     let ours = register
         .iter()
         .filter(|m| m.domain == owned.shard.domain)
@@ -281,6 +281,7 @@
                 return;
             }
         };
+        core.metrics.add(Count::HoldSent, 1);
         match core.minions.hold(&id, &order).await {
             HoldReply::Listed(list) => {
                 let born = list.born;
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -9,7 +9,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kernel::{BootClock, Clock, HashMap, Incarnation};
 use metrics::{Gauge, Metrics};
-use ownership::{Peers, Shard, Tokens, VmInfo};
+use ownership::{Peers, Tokens, VmInfo};
 use schedule::{JobSpec, MinionInfo, Outcome};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -91,6 +91,7 @@
             addr: cfg.peer_addr,
             domain: cfg.domain.clone(),
             share: cfg.share,
+            room: cfg.room,
             incarnation: Incarnation::draw(&mut rand::rng()),
             leaving: false,
         };
@@ -177,11 +178,8 @@
     pub fn follows_register(&self) -> bool {
         let now = self.core.now();
         let peers = self.core.peers();
-        let indices = 0..self.core.cfg.shards;
-        let mut ranks = indices.map(|index| {
-            let domain = self.core.cfg.domain.clone();
-            peers.rank(&Shard { domain, index }, now)
-        });
+        let shards = peers.shards(&self.core.cfg.domain, self.core.cfg.shards, now);
+        let mut ranks = shards.iter().map(|shard| peers.rank(shard, now));
         self.owns() || ranks.any(|rank| rank <= STANDBYS)
     }
 
@@ -220,6 +218,11 @@
 
 /// Brings the minions of all owned shards in line with the register.
 fn sync_minions<M: Minions>(core: &Arc<Core<M>>) {
+    let mut counts = HashMap::default();
+    for minion in core.register.load().iter().flat_map(|all| all.iter()) {
+        *counts.entry(minion.domain.clone()).or_insert(0) += 1;
+    }
+    core.peers().set_minions(counts);
     for owned in core.owned.load().values() {
         drive::sync_register(core, owned);
     }
--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -19,6 +19,7 @@
 mod register;
 mod route;
 mod submit;
+mod traffic;
 
 pub use crate::backoff::Backoff;
 pub use crate::config::EngineConfig;
--- a/components/engine/tests/common/mod.rs
+++ b/components/engine/tests/common/mod.rs
@@ -82,6 +82,7 @@
         domain: "suva-a".parse().unwrap(),
         domains: vec!["suva-a".parse().unwrap()],
         share: 250,
+        room: 1_000,
         seeds: vec![Ipv4Addr::new(127, 0, 0, 1), Ipv4Addr::new(127, 0, 0, 2)],
         shards: 1,
         ownership: OwnershipConfig::default(),
--- a/components/entry/src/gauges.rs
+++ b/components/entry/src/gauges.rs
@@ -59,7 +59,8 @@
         Gauge::ShardsOwned
         | Gauge::MinionsHeld
         | Gauge::CoresFree
-        | Gauge::ConfigurationVersion => 0,
+        | Gauge::ConfigurationVersion
+        | Gauge::HeartbeatAge => 0,
     };
     value as u64
 }
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -17,6 +17,6 @@
 };
 pub use registry::{Fault, Key, Kind, Parts, Plugin, Section, plugins};
 pub use units::{
-    Cores, Epoch, Fence, Gpus, LeaseTime, Mebibytes, MilliCores, Millis, Offset, RunNumber, Slots,
-    Timestamp, UnitError,
+    BitRate, Cores, Epoch, Fence, Gpus, LeaseTime, Mebibytes, MilliCores, Millis, Offset,
+    RunNumber, Slots, Timestamp, UnitError,
 };
--- a/components/kernel/src/units.rs
+++ b/components/kernel/src/units.rs
@@ -82,6 +82,11 @@
     Gpus(u32)
 }
 
+integer_newtype! {
+    /// A rate of a network link in bits per second.
+    BitRate(u64)
+}
+
 integer_newtype! {
     /// The number of a start of a task, counted from 1.
     RunNumber(u32)
--- a/components/metrics/src/name.rs
+++ b/components/metrics/src/name.rs
@@ -51,6 +51,16 @@
         MinionEjected, "minions.ejected", "Ejections of minions as outliers.";
         SheetRefused, "sheet.refused", "Changes of the sheet that were refused.";
         HeartbeatSent, "peers.heartbeats", "Heartbeats sent to peers.";
+        HeartbeatReceived, "peers.heartbeats_in", "Heartbeats received from peers.";
+        HeartbeatBytes, "peers.heartbeat_bytes", "Bytes of heartbeats sent, without packet headers.";
+        HeartbeatBytesIn, "peers.heartbeat_bytes_in", "Bytes of heartbeats received, without packet headers.";
+        PeerBytes, "peers.bytes", "Bytes of calls to peers.";
+        PeerBytesIn, "peers.bytes_in", "Bytes of peers' answers.";
+        PeerOpened, "peers.opened", "Connections opened to peers.";
+        MinionBytes, "minions.bytes", "Bytes of orders to minions.";
+        MinionBytesIn, "minions.bytes_in", "Bytes of minions' answers.";
+        MinionOpened, "minions.opened", "Connections opened to minions.";
+        HoldSent, "holds.sent", "Holds sent to minions.";
         DigestSent, "peers.digests", "Digests sent to peers of the domain.";
         JobExpired, "jobs.expired", "Jobs that ran and did not end before their deadline.";
         JobFailed, "jobs.failed", "Jobs that failed because a task used up its attempts.";
@@ -89,6 +99,7 @@
         CoresFree, "cores.free", "Free cores of the minions that may get work.";
         ConfigurationVersion, "configuration.version", "The version of the configuration in force.";
         KeptBytes, "jobs.kept_bytes", "Bytes of answers kept for resubmissions.";
+        HeartbeatAge, "peers.heartbeat_age", "Milliseconds since the oldest report of a known owner.";
         TeamsAtQuota, "teams.at_quota", "Teams whose jobs hold all slots of their quota.";
     }
 }
--- a/components/ownership/src/heartbeat.rs
+++ b/components/ownership/src/heartbeat.rs
@@ -18,6 +18,8 @@
     pub domain: Domain,
     /// Share of a processor in thousandths. Larger VMs are preferred as owners.
     pub share: u32,
+    /// Number of minions that the VM can own.
+    pub room: u32,
     /// Identifies this run of the VM's process.
     pub incarnation: Incarnation,
     /// True once the VM has begun a planned stop.
@@ -39,10 +41,13 @@
 }
 
 impl Claim {
-    /// Returns whether this claim wins over another VM's.
-    pub fn wins_over(&self, other: &Claim) -> bool {
+    /// Returns whether this claim to `shard` wins over another VM's claim to
+    /// `theirs`, which overlaps it. At the same epoch the larger shard wins: a
+    /// VM that knows more of the others divides the domain less.
+    pub fn wins_over(&self, shard: &Shard, other: &Claim, theirs: &Shard) -> bool {
         let order = self.home.cmp(&other.home);
         let order = order.then(self.epoch.cmp(&other.epoch));
+        let order = order.then(theirs.count.cmp(&shard.count));
         let order = order.then(self.share.cmp(&other.share));
         order.then(self.addr.cmp(&other.addr)) == Ordering::Greater
     }
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -9,6 +9,8 @@
 mod contested;
 mod heartbeat;
 mod peers;
+mod plan;
+mod room;
 mod shard;
 mod token;
 
@@ -16,5 +18,6 @@
 pub use heartbeat::{Claim, Heartbeat, Report, VmInfo};
 pub use kernel::Epoch;
 pub use peers::{Change, Owner, Peers};
+pub use room::Room;
 pub use shard::{Shard, shard_of};
 pub use token::Tokens;
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -3,12 +3,13 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use kernel::{Epoch, HashMap, Timestamp, key_hash};
+use kernel::{Domain, Epoch, HashMap, Millis, Timestamp};
 use schedule::Load;
 
 use crate::config::OwnershipConfig;
 use crate::contested::{LOSS_WINDOW, MinionLosses, Yielded};
 use crate::heartbeat::{Claim, Heartbeat, Report, VmInfo};
+use crate::plan::Planned;
 use crate::shard::Shard;
 
 /// State of another VM.
@@ -71,6 +72,8 @@
     pub(crate) minion_losses: HashMap<Shard, MinionLosses>,
     /// Shards that this VM gave up as contested.
     pub(crate) yielded: HashMap<Shard, Yielded>,
+    /// Number of minions in each domain, as far as this VM knows the register.
+    pub(crate) minions: HashMap<Domain, u32>,
 }
 
 impl Peers {
@@ -88,6 +91,7 @@
             lost_owners: HashMap::default(),
             minion_losses: HashMap::default(),
             yielded: HashMap::default(),
+            minions: HashMap::default(),
         }
     }
 
@@ -150,7 +154,7 @@
             .retain(|shard, owner| owner.claim.addr != from || kept(shard));
         let reports = heartbeat.reports.into_iter();
         reports
-            .filter_map(|report| self.receive_report(report, leaving, now))
+            .flat_map(|report| self.receive_report(report, leaving, now))
             .collect()
     }
 
@@ -168,33 +172,39 @@
 
     /// Processes an owner's report of a shard. `leaving` tells that the owner
     /// has begun a planned stop, so that its claim does not win over this VM's.
-    fn receive_report(&mut self, report: Report, leaving: bool, now: Timestamp) -> Option<Change> {
+    fn receive_report(&mut self, report: Report, leaving: bool, now: Timestamp) -> Vec<Change> {
         let Report { shard, claim, load } = report;
         let epoch = self.epochs.entry(shard.clone()).or_default();
         *epoch = (*epoch).max(claim.epoch);
-        if let Some(mine) = self.claims.get(&shard) {
-            if !claim.wins_over(mine) || leaving {
-                return None;
-            }
-            self.claims.remove(&shard);
-            self.set_owner(&shard, claim, load, now);
-            return Some(Change::Yielded(shard, claim.addr));
+        let wins = |other: &Claim, theirs: &Shard| claim.wins_over(&shard, other, theirs);
+        let mine = self.claims.iter().filter(|(s, _)| s.overlaps(&shard));
+        let mine: Vec<_> = mine.map(|(s, c)| (s.clone(), *c)).collect();
+        if mine.iter().any(|(s, c)| leaving || !wins(c, s)) {
+            return Vec::new();
         }
-        let known = self.owners.get(&shard).map(|o| o.claim);
-        if let Some(known) = known
-            && known.addr != claim.addr
-            && known.wins_over(&claim)
-        {
-            return None;
+        let others = self.owners.iter().filter(|(s, _)| s.overlaps(&shard));
+        let mut others = others.filter(|(_, o)| o.claim.addr != claim.addr);
+        if others.any(|(s, o)| o.claim.wins_over(s, &claim, &shard)) {
+            return Vec::new();
         }
+        let known = self.owners.get(&shard).map(|o| o.claim.addr);
         self.set_owner(&shard, claim, load, now);
-        let same = known.is_some_and(|k| k.addr == claim.addr);
-        (!same).then_some(Change::NewOwner(shard, claim.addr))
+        let mut changes = Vec::new();
+        for (lost, _) in mine {
+            self.claims.remove(&lost);
+            changes.push(Change::Yielded(lost, claim.addr));
+        }
+        if changes.is_empty() && known != Some(claim.addr) {
+            changes.push(Change::NewOwner(shard, claim.addr));
+        }
+        changes
     }
 
-    /// Records another VM as the owner of a shard.
+    /// Records another VM as the owner of a shard, in place of the owners of
+    /// shards that overlap it.
     fn set_owner(&mut self, shard: &Shard, claim: Claim, load: Load, now: Timestamp) {
         self.vacant_since.remove(shard);
+        self.owners.retain(|s, _| !s.overlaps(shard));
         let owner = Owner {
             claim,
             load,
@@ -235,13 +245,16 @@
         if self.me.leaving || now.since(self.started) < self.cfg.listen_time {
             return changes;
         }
+        // Room of VMs that are first candidates for shards before, so that one
+        // VM does not take all of a domain's shards at once.
+        let mut planned = HashMap::default();
         for shard in shards {
             let yielded = self.yielded.get(shard).is_some_and(|y| now < y.until);
-            if self.claims.contains_key(shard) || self.owners.contains_key(shard) || yielded {
+            if self.is_owned(shard) || yielded {
                 continue;
             }
             let since = *self.vacant_since.entry(shard.clone()).or_insert(now);
-            let Some(delay) = self.takeover_delay(shard, now) else {
+            let Some(delay) = self.takeover_delay(shard, &mut planned, now) else {
                 continue;
             };
             if now.micros_since(since) >= delay {
@@ -252,19 +265,29 @@
         changes
     }
 
+    /// Returns whether a shard, or one that overlaps it, has a known owner.
+    fn is_owned(&self, shard: &Shard) -> bool {
+        let mut owned = self.claims.keys().chain(self.owners.keys());
+        owned.any(|s| s.overlaps(shard))
+    }
+
     /// Returns the time in microseconds for which a shard must have had no
     /// owner before this VM takes it. Returns `None` on a VM of another domain
-    /// while one of the shard's domain is alive.
-    fn takeover_delay(&self, shard: &Shard, now: Timestamp) -> Option<u64> {
-        let mine = score(shard, &self.me);
-        let better = self.alive(now).filter(|vm| !vm.leaving);
-        let better = better.filter(|vm| score(shard, vm) > mine);
-        let better: Vec<_> = better.map(|vm| vm.domain == shard.domain).collect();
-        let rank = better.len() as u64;
-        let mut delay = rank * self.cfg.stagger.micros();
+    /// while one of the shard's domain is alive. Adds the shard's minions to
+    /// those that are `planned` for its first candidate.
+    fn takeover_delay(&self, shard: &Shard, planned: &mut Planned, now: Timestamp) -> Option<u64> {
+        let mine = self.score(shard, &self.me, planned);
+        let others = self.alive(now).filter(|vm| !vm.leaving);
+        let others = others.map(|vm| (self.score(shard, vm, planned), vm));
+        let better: Vec<_> = others.filter(|(score, _)| *score > mine).collect();
+        let first = better.iter().max_by_key(|(score, _)| *score);
+        let first = first.map_or(self.me.addr, |(_, vm)| vm.addr);
+        let home_better = better.iter().any(|(_, vm)| vm.domain == shard.domain);
+        let mut delay = better.len() as u64 * self.cfg.stagger.micros();
+        *planned.entry(first).or_insert(0) += self.size(shard);
         if self.me.domain != shard.domain {
             // VMs of the shard's own domain reach the minions best.
-            if better.contains(&true) {
+            if home_better {
                 return None;
             }
             delay += self.cfg.remote_delay.micros();
@@ -275,19 +298,23 @@
     /// Returns the number of VMs in this VM's domain that would take a shard
     /// before it.
     pub fn rank(&self, shard: &Shard, now: Timestamp) -> usize {
-        let mine = score(shard, &self.me);
+        let planned = HashMap::default();
+        let mine = self.score(shard, &self.me, &planned);
         let alive = self.alive(now).filter(|vm| !vm.leaving);
         let home = alive.filter(|vm| vm.domain == self.me.domain);
-        home.filter(|vm| score(shard, vm) > mine).count()
+        home.filter(|vm| self.score(shard, vm, &planned) > mine)
+            .count()
     }
 
     /// Makes this VM the shard's owner under a new epoch.
     fn claim_shard(&mut self, shard: &Shard) -> Epoch {
-        let epoch = self.epochs.entry(shard.clone()).or_default();
-        epoch.0 += 1;
+        let known = self.epochs.iter().filter(|(s, _)| s.overlaps(shard));
+        let latest = known.map(|(_, epoch)| *epoch).max().unwrap_or_default();
+        let epoch = Epoch(latest.0 + 1);
+        self.epochs.insert(shard.clone(), epoch);
         let claim = Claim {
             home: self.me.domain == shard.domain,
-            epoch: *epoch,
+            epoch,
             share: self.me.share,
             addr: self.me.addr,
         };
@@ -298,7 +325,7 @@
 
     /// Takes a shard at once because its owner hands it over.
     pub fn accept(&mut self, shard: &Shard) -> Epoch {
-        self.owners.remove(shard);
+        self.owners.retain(|s, _| !s.overlaps(shard));
         self.claim_shard(shard)
     }
 
@@ -319,20 +346,26 @@
         }
     }
 
-    /// Returns the VM that should take over a shard of this one. Without
-    /// `anywhere` only VMs of the shard's domain are considered.
+    /// Returns the VM that should take over a shard of this one: one that has
+    /// room for it, if any, and else the largest. Without `anywhere` only VMs of
+    /// the shard's domain are considered.
     pub fn successor(&self, shard: &Shard, anywhere: bool, now: Timestamp) -> Option<VmInfo> {
         let candidates = self.alive(now).filter(|vm| !vm.leaving);
         let candidates = candidates.filter(|vm| anywhere || vm.domain == shard.domain);
+        let planned = HashMap::default();
         candidates
-            .max_by_key(|vm| (vm.domain == shard.domain, vm.share, vm.addr))
+            .max_by_key(|vm| {
+                let home = vm.domain == shard.domain;
+                (home, self.fits(shard, vm, &planned), vm.share, vm.addr)
+            })
             .cloned()
     }
 
-    /// Returns the VM that should own a shard of this VM instead: a VM of the
-    /// shard's domain if this one is in another domain, or one of at least
-    /// twice this VM's size. Both VMs must have been alive for `settle_time`,
-    /// as each handover has a cost.
+    /// Returns the VM that should own a shard of this VM instead. It has room
+    /// for the shard, and is a VM of the shard's domain if this one is in
+    /// another domain, or of at least twice this VM's size, or this VM owns more
+    /// than it has room for. Both VMs must have been alive for `settle_time`, as
+    /// each handover has a cost.
     pub fn better_owner(&self, shard: &Shard, now: Timestamp) -> Option<SocketAddr> {
         let best = self.successor(shard, false, now)?;
         let IpAddr::V4(ip) = best.addr.ip() else {
@@ -342,7 +375,9 @@
         let own = self.started.after(self.cfg.settle_time) <= now;
         let away = self.me.domain != shard.domain;
         let larger = best.share >= self.me.share.saturating_mul(2);
-        (settled && own && (away || larger)).then_some(best.addr)
+        let fits = self.fits(shard, &best, &HashMap::default());
+        let better = away || fits && (larger || self.is_crowded());
+        (settled && own && better).then_some(best.addr)
     }
 
     /// Returns the VMs whose last message is not older than `idle_timeout`.
@@ -406,19 +441,14 @@
         self.claims.iter()
     }
 
+    /// Returns the age of the oldest report of an owner; 0 without owners.
+    pub fn oldest_report(&self, now: Timestamp) -> Millis {
+        let ages = self.owners.values().map(|o| now.since(o.last_report));
+        ages.max().unwrap_or_default()
+    }
+
     /// Returns whether this VM owns a shard.
     pub fn owns(&self, shard: &Shard) -> bool {
         self.claims.contains_key(shard)
     }
 }
-
-/// Returns a VM's score as owner of a shard. VMs of the shard's domain rank
-/// first, then larger ones; a hash spreads shards over equal VMs.
-fn score(shard: &Shard, vm: &VmInfo) -> (bool, u32, u128) {
-    let key = format!("{shard} {}", vm.addr);
-    (
-        vm.domain == shard.domain,
-        vm.share,
-        key_hash(key.as_bytes()),
-    )
-}
--- /dev/null
+++ b/components/ownership/src/plan.rs
@@ -0,0 +1,110 @@
+//! Division of a domain's minions into shards, and the order in which VMs take
+//! them. Each VM decides for itself from what it knows of the others; claims
+//! settle what two VMs see differently.
+
+use std::net::SocketAddr;
+
+use kernel::{Domain, HashMap, Timestamp, key_hash};
+
+use crate::heartbeat::VmInfo;
+use crate::peers::Peers;
+use crate::shard::Shard;
+
+/// Largest number of shards of a domain.
+const MAX_SHARDS: u16 = 64;
+
+/// Smallest number of minions of a shard. Below it a job of usual width finds no
+/// room in a shard that is not nearly idle.
+const MIN_MINIONS: u32 = 8;
+
+/// Minions of shards that are about to be taken, by the VM that will own them.
+pub(crate) type Planned = HashMap<SocketAddr, u32>;
+
+impl Peers {
+    /// Sets the number of minions in each domain.
+    pub fn set_minions(&mut self, minions: HashMap<Domain, u32>) {
+        self.minions = minions;
+    }
+
+    /// Returns the shards of a domain. They are those that its owners report;
+    /// without any, the domain is divided so that its VMs have room for them,
+    /// into at least `fewest` shards.
+    pub fn shards(&self, domain: &Domain, fewest: u16, now: Timestamp) -> Vec<Shard> {
+        let owned = self.claims.keys().chain(self.owners.keys());
+        let owned = owned.filter(|s| s.domain == *domain);
+        let count = owned.map(|s| s.count).max();
+        let count = count.unwrap_or_else(|| self.division(domain, fewest, now));
+        let shard = |index| Shard {
+            domain: domain.clone(),
+            index,
+            count,
+        };
+        (0..count).map(shard).collect()
+    }
+
+    /// Returns the least number of shards for which the domain's VMs have room.
+    /// If they have room for no number, shards are as small as possible.
+    fn division(&self, domain: &Domain, fewest: u16, now: Timestamp) -> u16 {
+        let minions = self.minions.get(domain).copied().unwrap_or(0);
+        let home = self.alive(now).chain([&self.me]);
+        let home = home.filter(|vm| vm.domain == *domain && !vm.leaving);
+        let rooms: Vec<u32> = home.map(|vm| vm.room).collect();
+        let mut count = fewest.max(1).next_power_of_two();
+        loop {
+            let size = minions.div_ceil(u32::from(count)).max(1);
+            let places: u32 = rooms.iter().map(|room| room / size).sum();
+            let smallest = count * 2 > MAX_SHARDS || size < MIN_MINIONS * 2;
+            if places >= u32::from(count) || smallest || rooms.is_empty() {
+                return count;
+            }
+            count *= 2;
+        }
+    }
+
+    /// Returns the number of minions of a shard, or 0 if the register is not
+    /// known.
+    pub(crate) fn size(&self, shard: &Shard) -> u32 {
+        let minions = self.minions.get(&shard.domain).copied().unwrap_or(0);
+        minions.div_ceil(u32::from(shard.count.max(1)))
+    }
+
+    /// Returns the number of minions of the shards that a VM owns.
+    fn carried(&self, addr: SocketAddr) -> u32 {
+        if addr == self.me.addr {
+            return self.claims.keys().map(|s| self.size(s)).sum();
+        }
+        let owned = self.owners.iter().filter(|(_, o)| o.claim.addr == addr);
+        owned.map(|(s, _)| self.size(s)).sum()
+    }
+
+    /// Returns whether a VM has room for a shard beside those that it owns and
+    /// those that are planned for it.
+    pub(crate) fn fits(&self, shard: &Shard, vm: &VmInfo, planned: &Planned) -> bool {
+        let planned = planned.get(&vm.addr).copied().unwrap_or(0);
+        self.carried(vm.addr) + planned + self.size(shard) <= vm.room
+    }
+
+    /// Returns whether this VM owns more minions than it has room for, and some
+    /// of them can go to another VM.
+    pub(crate) fn is_crowded(&self) -> bool {
+        self.claims.len() > 1 && self.carried(self.me.addr) > self.me.room
+    }
+
+    /// Returns a VM's score as owner of a shard. VMs of the shard's domain rank
+    /// first, then those with room for it, then larger ones; a hash spreads
+    /// shards over equal VMs.
+    pub(crate) fn score(
+        &self,
+        shard: &Shard,
+        vm: &VmInfo,
+        planned: &Planned,
+    ) -> (bool, bool, u32, u128) {
+        let key = format!("{shard} {}", vm.addr);
+        (
+            vm.domain == shard.domain,
+            self.fits(shard, vm, planned),
+            vm.share,
+            key_hash(key.as_bytes()),
+        )
+    }
+}
--- a/components/ownership/src/shard.rs
+++ b/components/ownership/src/shard.rs
@@ -12,20 +12,38 @@
     pub domain: Domain,
     /// Index of the shard within its domain, from 0.
     pub index: u16,
+    /// Number of shards that the domain is divided into, a power of two. VMs
+    /// may disagree about it for a while.
+    pub count: u16,
+}
+
+impl Shard {
+    /// Returns whether the two shards have minions in common. As counts are
+    /// powers of two, one of them is then a part of the other.
+    pub fn overlaps(&self, other: &Shard) -> bool {
+        let count = self.count.min(other.count).max(1);
+        self.domain == other.domain && self.index % count == other.index % count
+    }
 }
 
 impl fmt::Display for Shard {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}", self.domain, self.index)
+        write!(f, "{}/{}", self.domain, self.index)?;
+        match self.count {
+            0 | 1 => Ok(()),
+            count => write!(f, "of{count}"),
+        }
     }
 }
 
 /// Returns the shard of a minion in a domain that is divided into `count`
 /// shards.
 pub fn shard_of(domain: &Domain, minion: &MinionId, count: u16) -> Shard {
+    let count = count.max(1);
     let hash = key_hash(minion.as_str().as_bytes());
     Shard {
         domain: domain.clone(),
-        index: (hash % u128::from(count.max(1))) as u16,
+        index: (hash % u128::from(count)) as u16,
+        count,
     }
 }
--- a/components/ownership/tests/takeover.rs
+++ b/components/ownership/tests/takeover.rs
@@ -16,6 +16,7 @@
         addr: addr.parse::<SocketAddr>().unwrap(),
         domain: domain.parse().unwrap(),
         share,
+        room: 1_000,
         incarnation: id.parse::<Incarnation>().unwrap(),
         leaving: false,
     }
@@ -25,6 +26,7 @@
     Shard {
         domain: "suva-a".parse().unwrap(),
         index: 0,
+        count: 1,
     }
 }
 
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -4,11 +4,13 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Request, StatusCode};
@@ -97,6 +99,36 @@
     pub body: Bytes,
 }
 
+/// Calls and bytes of a client since its start. Bytes are those of HTTP, without
+/// the packets' own headers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Traffic {
+    /// Connections opened.
+    pub opened: u64,
+    /// Bytes of requests written.
+    pub sent: u64,
+    /// Bytes of responses read.
+    pub received: u64,
+}
+
+/// Counters behind [`Traffic`].
+#[derive(Debug, Default)]
+struct Counters {
+    opened: AtomicU64,
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+/// Returns the size of headers as they are written, with their separators.
+fn header_bytes(headers: &HeaderMap) -> usize {
+    let sizes = headers.iter().map(|(k, v)| k.as_str().len() + v.len() + 4);
+    sizes.sum()
+}
+
+/// Size of a request line or status line without its path, and of the empty
+/// line that ends the headers.
+const FRAME_BYTES: usize = 18;
+
 /// A pooled connection that carries no request.
 struct Idle {
     /// The connection's sending half.
@@ -136,6 +168,8 @@
     limits: PoolLimits,
     /// The idle connections.
     pool: Arc<Mutex<Pool>>,
+    /// Calls and bytes so far.
+    counters: Arc<Counters>,
 }
 
 impl<C> fmt::Debug for Client<C> {
@@ -153,6 +187,18 @@
             connect,
             limits,
             pool: Arc::default(),
+            counters: Arc::default(),
+        }
+    }
+
+    /// Returns the calls and bytes since the client was created. Clones share
+    /// the counters.
+    pub fn traffic(&self) -> Traffic {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Traffic {
+            opened: read(&self.counters.opened),
+            sent: read(&self.counters.sent),
+            received: read(&self.counters.received),
         }
     }
 
@@ -234,6 +280,7 @@
             Ok(Err(_)) => return Err(CallError::Refused),
             Ok(Ok(stream)) => stream,
         };
+        self.counters.opened.fetch_add(1, Ordering::Relaxed);
         let (sender, conn) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|_| CallError::Unsent)?;
@@ -257,6 +304,9 @@
         let Some(sender) = active.sender.as_mut() else {
             return Err(SendError::Unsent(Box::new(req)));
         };
+        let size = FRAME_BYTES + req.uri().path().len() + header_bytes(req.headers());
+        let size = size as u64 + req.body().size_hint().lower();
+        self.counters.sent.fetch_add(size, Ordering::Relaxed);
         let result = tokio::time::timeout_at(deadline, sender.try_send_request(req)).await;
         let res = match result {
             Err(_) => return Err(SendError::Failed(CallError::Timeout)),
@@ -273,6 +323,10 @@
         let body = read_body(body, self.limits.reply_size, remaining)
             .await
             .map_err(|e| SendError::Failed(CallError::Body(e)))?;
+        let size = FRAME_BYTES + header_bytes(&head.headers) + body.len();
+        self.counters
+            .received
+            .fetch_add(size as u64, Ordering::Relaxed);
         self.keep(addr, active).await;
         Ok(Reply {
             status: head.status,
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -9,7 +9,7 @@
 mod server;
 
 pub use body::{BodyError, read_body};
-pub use client::{CallError, Client, PoolLimits, Reply};
+pub use client::{CallError, Client, PoolLimits, Reply, Traffic};
 pub use codec::{CodecError, VERSION, decode, encode};
 pub use connect::{Connect, TcpConnect};
 pub use minion::{
