Let orders wait for the VM's own link instead of resending them

Cause: a start without an answer for 30 ms is sent again, up to four times, and a hold gives up 40 ms after its wait. A wide job alone queues 20 to 300 KB of payloads on a link of 250 KB/s, so both fire while the first message is still in the VM's own queue; the copies lengthen the queue further, holds are missed, their connections are given up, leases lapse and heartbeats are dropped. Change: wire::Link models the queue of the VM's link from its rate and the bytes sent. Starts wait their turn so that the queue stays under 10 ms, and timeouts of orders count from when the order has left. What is late now waits for its start.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -287,6 +287,7 @@
     let size = bytes.len() * targets.len();
     core.metrics.add(Count::HeartbeatBytes, size as u64);
     for addr in targets {
+        core.cfg.link.reserve(bytes.len());
         let to = SocketAddr::from((*addr, core.cfg.heartbeat_port));
         if let Err(e) = core.socket.send_to(&bytes, to).await {
             log::debug!(to:% = to, error:% = e; "heartbeat not sent");
--- a/components/engine/src/calls.rs
+++ b/components/engine/src/calls.rs
@@ -38,6 +38,9 @@
 /// Time within which a message must have arrived.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Size of a call's headers in bytes.
+const HEAD_BYTES: usize = 100;
+
 /// A call to the owner of a shard that concerns a job.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct JobCall {
@@ -124,6 +127,7 @@
     wait: Duration,
 ) -> Result<R, PeerError> {
     let body = encode(body).map_err(PeerError::Codec)?;
+    let wait = wait + core.cfg.link.reserve(HEAD_BYTES + body.len());
     let req = Request::post(path)
         .header(hyper::header::HOST, to.to_string())
         .body(Full::new(body))
--- a/components/engine/src/config.rs
+++ b/components/engine/src/config.rs
@@ -5,7 +5,7 @@
 use kernel::{Domain, Millis};
 use ownership::OwnershipConfig;
 use schedule::ScheduleConfig;
-use wire::{PoolLimits, ServerLimits};
+use wire::{Link, PoolLimits, ServerLimits};
 
 /// Settings of an engine.
 #[derive(Debug, Clone)]
@@ -25,6 +25,8 @@
     pub share: u32,
     /// Number of minions that this VM can own.
     pub room: u32,
+    /// This VM's network link.
+    pub link: Link,
     /// Addresses at which other VMs may be.
     pub seeds: Vec<Ipv4Addr>,
     /// Least number of shards in each failure domain. It has more if its VMs are
--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -111,15 +111,23 @@
 /// 60 ms may be late.
 const HEDGE_DELAY: Duration = Duration::from_millis(30);
 
+/// Size of a start order without its payload, in bytes.
+const ORDER_BYTES: usize = 400;
+
 /// Sends a start order until the minion accepts it or all attempts have failed.
-async fn send_start<M: Minions>(minions: &M, order: &StartOrder) -> StartReply {
+/// An order that still waits in this VM's link is not resent: that would only
+/// lengthen the queue.
+async fn send_start<M: Minions>(core: &Core<M>, order: &StartOrder) -> StartReply {
+    let (minions, link) = (&core.minions, &core.cfg.link);
+    let size = ORDER_BYTES + order.payload.len();
+    let mut delay = link.pace(size).await;
     let mut pending = FuturesUnordered::new();
     pending.push(minions.start(order));
     let mut sent = 1;
     let mut refusal: Option<StartReply> = None;
     loop {
         let reply = match sent < START_ATTEMPTS {
-            true => timeout(HEDGE_DELAY, pending.next()).await,
+            true => timeout(HEDGE_DELAY + delay, pending.next()).await,
             false => Ok(pending.next().await),
         };
         let unanswered = match reply {
@@ -132,6 +140,7 @@
             Err(_) => true,
         };
         if unanswered && sent < START_ATTEMPTS {
+            delay = link.pace(size).await;
             pending.push(minions.start(order));
             sent += 1;
         }
@@ -140,7 +149,7 @@
 
 /// Sends a start order and passes the result to the scheduler.
 async fn start_run<M: Minions>(core: Arc<Core<M>>, owned: Arc<Owned>, order: StartOrder) {
-    let reply = send_start(&core.minions, &order).await;
+    let reply = send_start(&core, &order).await;
     core.metrics.add(Count::TaskSent, 1);
     if !matches!(reply, StartReply::Accepted(_)) {
         core.metrics.add(Count::StartUntaken, 1);
--- a/components/engine/tests/common/mod.rs
+++ b/components/engine/tests/common/mod.rs
@@ -10,11 +10,11 @@
 use std::time::{Duration, Instant};
 
 use engine::{Configuration, Engine, EngineConfig, HoldReply, Minions, StopReply};
-use kernel::{Millis, MinionId};
+use kernel::{BitRate, Millis, MinionId};
 use ownership::OwnershipConfig;
 use schedule::{HoldOrder, JobSpec, MinionInfo, ScheduleConfig, StartOrder, StartReply, StopOrder};
 use standins::{LeasedFleet, MinionViolation, Work};
-use wire::{PoolLimits, ServerLimits};
+use wire::{Link, PoolLimits, ServerLimits};
 
 /// The simulated minions of a site.
 #[derive(Clone)]
@@ -83,6 +83,7 @@
         domains: vec!["suva-a".parse().unwrap()],
         share: 250,
         room: 1_000,
+        link: Link::new(BitRate(1_000_000_000)),
         seeds: vec![Ipv4Addr::new(127, 0, 0, 1), Ipv4Addr::new(127, 0, 0, 2)],
         shards: 1,
         ownership: OwnershipConfig::default(),
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -5,6 +5,7 @@
 mod client;
 mod codec;
 mod connect;
+mod link;
 mod minion;
 mod server;
 
@@ -12,6 +13,7 @@
 pub use client::{CallError, Client, PoolLimits, Reply, Traffic};
 pub use codec::{CodecError, VERSION, decode, encode};
 pub use connect::{Connect, TcpConnect};
+pub use link::Link;
 pub use minion::{
     DEADLINE_HEADER, INCARNATION_HEADER, JOB_HEADER, SERVICE_HEADER, STARTED_HEADER, TASK_HEADER,
     TASK_PATH,
--- /dev/null
+++ b/components/wire/src/link.rs
@@ -0,0 +1,78 @@
+//! A model of the VM's own network link. The VM knows the link's rate and what it
+//! sends, so it knows how long a message waits in the link's queue: timeouts are
+//! extended by that time, and large messages wait for their turn so that the
+//! queue stays short for heartbeats and holds (docs/design/platform.md#link).
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use kernel::BitRate;
+
+/// Longest queue that a large message may join. It bounds how long a small
+/// message waits behind large ones.
+const MAX_QUEUE: Duration = Duration::from_millis(10);
+
+/// Bytes of packet headers for each message.
+const PACKET_BYTES: usize = 54;
+
+/// The sending side of a VM's link. Clones refer to the same link.
+#[derive(Debug, Clone)]
+pub struct Link {
+    rate: BitRate,
+    /// Time at which all bytes so far have been sent.
+    busy_until: Arc<Mutex<Instant>>,
+    /// Orders the large messages that wait for their turn.
+    turn: Arc<tokio::sync::Mutex<()>>,
+}
+
+impl Link {
+    /// Creates a link of the given rate, at least one bit per second.
+    pub fn new(rate: BitRate) -> Link {
+        Link {
+            rate: rate.max(BitRate(1)),
+            busy_until: Arc::new(Mutex::new(Instant::now())),
+            turn: Arc::default(),
+        }
+    }
+
+    /// Returns the link's rate.
+    pub fn rate(&self) -> BitRate {
+        self.rate
+    }
+
+    /// Returns the time that a message sent now waits in the queue.
+    pub fn backlog(&self) -> Duration {
+        let until = *self
+            .busy_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        until.saturating_duration_since(Instant::now())
+    }
+
+    /// Records a message of `bytes` bytes and returns the time until it has been
+    /// sent.
+    pub fn reserve(&self, bytes: usize) -> Duration {
+        let bits = (bytes + PACKET_BYTES) as f64 * 8.0;
+        let span = Duration::from_secs_f64(bits / self.rate.0 as f64);
+        let mut until = self
+            .busy_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        *until = (*until).max(now) + span;
+        *until - now
+    }
+
+    /// Waits until the queue is short, in the order of the calls, records a
+    /// message of `bytes` bytes and returns the time until it has been sent.
+    pub async fn pace(&self, bytes: usize) -> Duration {
+        let _turn = self.turn.lock().await;
+        loop {
+            let backlog = self.backlog();
+            if backlog <= MAX_QUEUE {
+                return self.reserve(bytes);
+            }
+            tokio::time::sleep(backlog - MAX_QUEUE).await;
+        }
+    }
+}
