Send heartbeats often only to the VMs that need them

Cause: every VM sends to every other one twice a second and an owner ten times, whatever their number and links: the traffic of the whole grows with the square of the VMs. Also VMs that start together know only seeds until the list of VMs is read again after 5 s. Ruled out: shorter heartbeats alone (120 bytes, of which 28 were addresses). Change: a heartbeat announces the time until the next one, and timeouts follow from it. VMs that run jobs for each other and the first candidates for a shard still get one every 100 ms; all others at an interval that keeps to a sixteenth of the sender's link and to 200 (idle VMs) and 100 (owners) a second for each receiver. A VM's answer to a job counts as a sign of life. Domains are still not divided: at the first claim the register lists only the minions that have registered so far.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use kernel::{HashMap, Timestamp};
+use kernel::{HashMap, HashSet, Millis, Timestamp};
 use metrics::{Count, Gauge};
-use ownership::{Change, Claim, Heartbeat, Report, Shard};
+use ownership::{Broadcast, Change, Claim, Heartbeat, Report, Shard};
+use rand::seq::IteratorRandom;
 use wire::{decode, encode};
 
 use crate::calls::{call_configuration, call_register};
@@ -22,9 +23,12 @@
 /// each.
 const MAX_HEARTBEAT: usize = 8 << 10;
 
-/// Maximum number of addresses of other VMs in a heartbeat.
+/// Number of addresses of other VMs in a heartbeat to a new VM.
 const MAX_KNOWN: usize = 32;
 
+/// Number of addresses of other VMs in a heartbeat to all.
+const REGULAR_KNOWN: usize = 4;
+
 /// Time in milliseconds for which a job that was handed over, or its outcome,
 /// is kept until the VM of its caller asks for it.
 const UNCLAIMED_MS: u64 = 500;
@@ -64,35 +68,123 @@
 /// regular one.
 async fn answer_new<M>(core: &Core<M>, to: SocketAddr) {
     if let IpAddr::V4(ip) = to.ip() {
-        let heartbeat = own_heartbeat(core, false, core.now());
+        let now = core.now();
+        let heartbeat = own_heartbeat(core, MAX_KNOWN, now);
         send_to(core, &heartbeat, &[ip]).await;
     }
 }
 
+/// Number of heartbeats at the shortest interval that a VM still gets when it no
+/// longer needs them. They announce the longer interval, and some may be lost.
+const FAREWELLS: u8 = 3;
+
+/// Number of VMs that get the heartbeats of a shard's owner at the shortest
+/// interval because they would take the shard first.
+const CANDIDATES: usize = 3;
+
+/// Decides which VMs get a heartbeat when.
+#[derive(Debug, Default)]
+struct Timetable {
+    /// Time of the last heartbeats at the shortest interval.
+    last_short: Timestamp,
+    /// Time of the last heartbeats to all VMs.
+    last_all: Timestamp,
+    /// VMs that have got heartbeats at the shortest interval, with the number
+    /// of further ones that they get.
+    short: HashMap<Ipv4Addr, u8>,
+}
+
+impl Timetable {
+    /// Sends the heartbeats that are due. With `urgent` all VMs get one.
+    async fn send<M>(&mut self, core: &Core<M>, urgent: bool, now: Timestamp) {
+        let least = core.cfg.ownership.heartbeat_interval;
+        if !urgent && now.since(self.last_short) < least {
+            return;
+        }
+        self.last_short = now;
+        let mut heartbeat = own_heartbeat(core, REGULAR_KNOWN, now);
+        let interval = broadcast_interval(core, &heartbeat);
+        let wanted = wanted_often(core, &heartbeat, now);
+        self.short.retain(|_, left| {
+            *left = left.saturating_sub(1);
+            *left > 0
+        });
+        for ip in &wanted {
+            self.short.insert(*ip, FAREWELLS + 1);
+        }
+        let rest: Vec<_> = match urgent || now.since(self.last_all) >= interval {
+            true => {
+                self.last_all = now;
+                let all: Vec<_> = core.peers().addrs().collect();
+                all.into_iter().filter(|ip| !wanted.contains(ip)).collect()
+            }
+            false => {
+                let farewells = self.short.keys().filter(|ip| !wanted.contains(*ip));
+                farewells.copied().collect()
+            }
+        };
+        heartbeat.interval = interval;
+        send_to(core, &heartbeat, &rest).await;
+        heartbeat.interval = least;
+        heartbeat.known.clear();
+        let wanted: Vec<_> = wanted.into_iter().collect();
+        send_to(core, &heartbeat, &wanted).await;
+    }
+}
+
+/// Returns the interval of this VM's heartbeats to all others.
+fn broadcast_interval<M>(core: &Core<M>, heartbeat: &Heartbeat) -> Millis {
+    let peers = core.peers();
+    let is_owner = !heartbeat.reports.is_empty();
+    let broadcast = Broadcast {
+        peers: peers.addrs().count(),
+        owners: peers.owner_count() + usize::from(is_owner),
+        is_owner,
+        bytes: encode(heartbeat).map_or(MAX_HEARTBEAT, |bytes| bytes.len()),
+        link: core.cfg.link.rate(),
+    };
+    broadcast.interval(&core.cfg.ownership)
+}
+
+/// Returns the VMs that need this VM's heartbeats at the shortest interval: those
+/// that run jobs for it, those for which it runs jobs, and those that would take
+/// its shards.
+fn wanted_often<M>(core: &Core<M>, heartbeat: &Heartbeat, now: Timestamp) -> HashSet<Ipv4Addr> {
+    let mut wanted: HashSet<_> = remote_owners(core).into_iter().collect();
+    for owned in core.owned.load().values() {
+        let state = owned.lock();
+        let callers = state.waiters.values().filter_map(|w| w.from);
+        wanted.extend(callers.filter_map(|addr| match addr.ip() {
+            IpAddr::V4(ip) => Some(ip),
+            IpAddr::V6(_) => None,
+        }));
+    }
+    let peers = core.peers();
+    for report in &heartbeat.reports {
+        wanted.extend(peers.candidates(&report.shard, CANDIDATES, now));
+    }
+    wanted
+}
+
 /// Sends heartbeats and does all periodic work until the runtime ends.
 pub(crate) async fn run<M: Minions>(core: Arc<Core<M>>) {
     let mut ticks = tokio::time::interval(core.cfg.tick.duration());
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut last_sent = Timestamp(0);
-    let mut last_full = Timestamp(0);
+    let mut timetable = Timetable::default();
+    let mut last_periodic = Timestamp(0);
     let mut meter = Meter::default();
     loop {
         ticks.tick().await;
         let now = core.now();
         let shards = all_shards(&core, now);
         let changes = core.peers().tick(&shards, now);
-        let urgent = !changes.is_empty();
+        let urgent = changes.iter().any(Change::is_own);
         apply_changes(&core, changes);
         for owned in core.owned.load().values() {
             tick_shard(&core, owned, now);
         }
-        if !urgent && now.since(last_sent) < core.cfg.ownership.heartbeat_interval {
-            continue;
-        }
-        last_sent = now;
-        let all = now.since(last_full) >= core.cfg.ownership.idle_interval;
-        if all {
-            last_full = now;
+        if now.since(last_periodic) >= core.cfg.ownership.idle_interval {
+            last_periodic = now;
             set_gauges(&core, now);
             meter.update(&core, now);
             pull_configuration(&core, now);
@@ -101,7 +193,7 @@
                 handover::hand_to_preferred(&core, now);
             }
         }
-        send_heartbeat(&core, all, now).await;
+        timetable.send(&core, urgent, now).await;
     }
 }
 
@@ -119,8 +211,12 @@
     metrics.set(Gauge::PeersLive, core.peers().alive(now).count() as u64);
 }
 
-/// Returns all shards of the site.
+/// Returns all shards of the site; none while this VM knows no register, as it
+/// can't tell then how the minions are divided.
 fn all_shards<M>(core: &Core<M>, now: Timestamp) -> Vec<Shard> {
+    if core.register.load().is_none() {
+        return Vec::new();
+    }
     let peers = core.peers();
     let domains = core.cfg.domains.iter();
     domains
@@ -136,7 +232,7 @@
         let state = owned.lock();
         let is_orphan = |w: &crate::owned::Waiter| match (&w.reply_tx, w.from) {
             (None, _) => now.since(w.since).0 > UNCLAIMED_MS,
-            (Some(_), Some(from)) => !peers.within_timeout(from, now),
+            (Some(_), Some(from)) => !peers.within_timeout(from, w.since, now),
             (Some(_), None) => false,
         };
         let orphaned = state.waiters.iter().filter(|(_, w)| is_orphan(w));
@@ -189,7 +285,6 @@
             }
         }
     }
-    core.owner_changes.send_modify(|n| *n += 1);
 }
 
 /// Begins to own a shard.
@@ -247,34 +342,21 @@
     drive::run_actions(core, &owned);
 }
 
-/// Returns this VM's heartbeat. With `all` it includes addresses of other VMs.
-fn own_heartbeat<M>(core: &Core<M>, all: bool, now: Timestamp) -> Heartbeat {
+/// Returns this VM's heartbeat with the addresses of at most `known` other VMs,
+/// chosen at random. It announces the longer of the intervals.
+fn own_heartbeat<M>(core: &Core<M>, known: usize, now: Timestamp) -> Heartbeat {
     let peers = core.peers();
     let reports = peers.claims();
     let reports = reports.map(|(shard, claim)| report(core, shard, *claim, now));
-    let known = match all {
-        true => peers.addrs().take(MAX_KNOWN).collect(),
-        false => Vec::new(),
-    };
     Heartbeat {
         from: peers.me().clone(),
+        interval: core.cfg.ownership.idle_interval,
         version: core.version(),
         reports: reports.collect(),
-        known,
+        known: peers.addrs().choose_multiple(&mut rand::rng(), known),
     }
 }
 
-/// Sends this VM's heartbeat to all others if `all` is set or this VM owns a
-/// shard; otherwise only to the VMs that run jobs for it.
-async fn send_heartbeat<M>(core: &Core<M>, all: bool, now: Timestamp) {
-    let heartbeat = own_heartbeat(core, all, now);
-    let targets: Vec<_> = match all || !heartbeat.reports.is_empty() {
-        true => core.peers().addrs().collect(),
-        false => remote_owners(core),
-    };
-    send_to(core, &heartbeat, &targets).await;
-}
-
 async fn send_to<M>(core: &Core<M>, heartbeat: &Heartbeat, targets: &[Ipv4Addr]) {
     let bytes = match encode(heartbeat) {
         Ok(bytes) => bytes,
@@ -366,7 +448,10 @@
 /// Sends a heartbeat to all VMs at once, because this VM is leaving or its
 /// shards have changed.
 pub(crate) async fn announce<M>(core: &Core<M>) {
-    send_heartbeat(core, true, core.now()).await;
+    let mut heartbeat = own_heartbeat(core, REGULAR_KNOWN, core.now());
+    heartbeat.interval = broadcast_interval(core, &heartbeat);
+    let all: Vec<_> = core.peers().addrs().collect();
+    send_to(core, &heartbeat, &all).await;
 }
 
 /// Returns whether the planned stop of this VM has begun.
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -10,7 +10,6 @@
 use ownership::{Peers, Shard, Tokens};
 use schedule::MinionInfo;
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
 use wire::{Client, TcpConnect};
 
 use crate::config::EngineConfig;
@@ -42,9 +41,6 @@
     pub tokens: Mutex<Tokens>,
     /// Number of jobs that each other VM runs for this one.
     pub remote_jobs: Mutex<HashMap<SocketAddr, usize>>,
-    /// Changes whenever the owner of a shard changes. Calls that wait for an
-    /// owner's answer subscribe to it.
-    pub owner_changes: watch::Sender<u64>,
     /// True once the planned stop of this VM has begun.
     pub stopping: AtomicBool,
 }
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -12,7 +12,6 @@
 use ownership::{Peers, Tokens, VmInfo};
 use schedule::{JobSpec, MinionInfo, Outcome};
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
 use wire::{Client, Server, TcpConnect};
 
 use crate::beats;
@@ -112,7 +111,6 @@
             peers: Mutex::new(peers),
             tokens: Mutex::new(tokens),
             remote_jobs: Mutex::new(HashMap::default()),
-            owner_changes: watch::Sender::new(0),
             stopping: AtomicBool::new(false),
             clock,
             cfg,
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -144,7 +144,6 @@
     }
     beats::install(core, &owned);
     drive::sync_register(core, &owned);
-    core.owner_changes.send_modify(|n| *n += 1);
     let core = core.clone();
     tokio::spawn(async move { beats::announce(&core).await });
 }
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -225,20 +225,24 @@
         from: core.cfg.peer_addr,
         action,
     };
-    let mut owner_changes = core.owner_changes.subscribe();
+    let called = core.now();
+    let interval = core.cfg.ownership.heartbeat_interval.duration();
     let answer = call_job(core, to, &call, wait);
     let mut answer = std::pin::pin!(answer);
     let reply = loop {
         tokio::select! {
             reply = answer.as_mut() => break reply,
-            _ = owner_changes.changed() => {
-                if !core.peers().within_timeout(to, core.now()) {
+            () = tokio::time::sleep(interval) => {
+                if !core.peers().within_timeout(to, called, core.now()) {
                     log::warn!(job:% = id, owner:% = to; "job lost: no heartbeat from the owner");
                     return Ok(Ending::Ended(Outcome::Lost));
                 }
             }
         }
     };
+    if matches!(reply, Ok(JobReply::Ended(_))) {
+        core.peers().refresh(to, core.now());
+    }
     match reply {
         Ok(JobReply::Ended(outcome)) => Ok(Ending::Ended(outcome)),
         Ok(JobReply::Moved(to)) => Ok(Ending::Moved(to)),
--- a/components/ownership/src/config.rs
+++ b/components/ownership/src/config.rs
@@ -5,15 +5,17 @@
 /// Intervals, timeouts and delays of heartbeats and takeovers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OwnershipConfig {
-    /// Interval between the heartbeats of a VM that owns a shard.
+    /// Least interval between the heartbeats of a VM that owns a shard.
     pub heartbeat_interval: Millis,
-    /// Interval between the heartbeats of a VM that owns no shard.
+    /// Least interval between the heartbeats of a VM that owns no shard.
     pub idle_interval: Millis,
     /// Time without a heartbeat after which a VM that owns a shard, or that has
-    /// jobs on a shard of this VM, is considered gone: four lost heartbeats.
+    /// jobs on a shard of this VM, is considered gone: four lost heartbeats. It
+    /// is longer for an owner that announces a longer interval.
     pub owner_timeout: Millis,
     /// Time without a heartbeat after which a VM that owns no shard is
-    /// considered gone.
+    /// considered gone: four lost heartbeats. It is longer for a VM that
+    /// announces a longer interval.
     pub idle_timeout: Millis,
     /// Time for which a new VM only listens before it takes a shard. Other VMs
     /// answer its first heartbeat at once, but the smallest take some hundred
@@ -45,6 +47,14 @@
     pub max_yield: Millis,
 }
 
+impl OwnershipConfig {
+    /// Returns `timeout`, which is for heartbeats at the interval `least`, for
+    /// heartbeats at `interval`.
+    pub(crate) fn scaled(timeout: Millis, least: Millis, interval: Millis) -> Millis {
+        timeout.max(Millis(timeout.0 * interval.0 / least.0.max(1)))
+    }
+}
+
 impl Default for OwnershipConfig {
     fn default() -> OwnershipConfig {
         OwnershipConfig {
--- a/components/ownership/src/contested.rs
+++ b/components/ownership/src/contested.rs
@@ -7,6 +7,7 @@
 
 use kernel::{Epoch, Millis, Timestamp};
 
+use crate::config::OwnershipConfig;
 use crate::peers::{Change, Peer, Peers};
 use crate::shard::Shard;
 
@@ -55,7 +56,12 @@
     /// without the lowest address counts as the minority.
     fn in_minority(&self, now: Timestamp) -> bool {
         let known = self.peers.iter().filter(|(_, p)| p.info.is_some());
-        let reaches = |p: &Peer| now.since(p.last_heartbeat) < self.cfg.unreachable_after;
+        let cfg = &self.cfg;
+        let reaches = |p: &Peer| {
+            let limit =
+                OwnershipConfig::scaled(cfg.unreachable_after, cfg.idle_interval, p.interval);
+            now.since(p.last_heartbeat) < limit
+        };
         let (reached, unreached): (Vec<_>, Vec<_>) = known.partition(|(_, p)| reaches(p));
         if reached.is_empty() && unreached.is_empty() {
             return now.since(self.started) >= self.cfg.unreachable_after;
--- a/components/ownership/src/heartbeat.rs
+++ b/components/ownership/src/heartbeat.rs
@@ -3,7 +3,7 @@
 use std::cmp::Ordering;
 use std::net::{Ipv4Addr, SocketAddr};
 
-use kernel::{Domain, Epoch, Incarnation};
+use kernel::{Domain, Epoch, Incarnation, Millis};
 use schedule::Load;
 use serde::{Deserialize, Serialize};
 
@@ -69,6 +69,8 @@
 pub struct Heartbeat {
     /// The VM that sends the heartbeat.
     pub from: VmInfo,
+    /// Longest time until the receiver gets the sender's next heartbeat.
+    pub interval: Millis,
     /// Version of the configuration that the sender has.
     pub version: u64,
     /// The shards that the sender owns.
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod contested;
 mod heartbeat;
+mod interval;
 mod peers;
 mod plan;
 mod room;
@@ -16,6 +17,7 @@
 
 pub use config::OwnershipConfig;
 pub use heartbeat::{Claim, Heartbeat, Report, VmInfo};
+pub use interval::Broadcast;
 pub use kernel::Epoch;
 pub use peers::{Change, Owner, Peers};
 pub use room::Room;
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -3,7 +3,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use kernel::{Domain, Epoch, HashMap, Millis, Timestamp};
+use kernel::{Domain, Epoch, HashMap, HashSet, Millis, Timestamp};
 use schedule::Load;
 
 use crate::config::OwnershipConfig;
@@ -24,6 +24,17 @@
     pub(crate) alive_since: Timestamp,
     /// Version of the VM's configuration.
     pub(crate) version: u64,
+    /// Longest time until the VM's next heartbeat, as it has announced.
+    pub(crate) interval: Millis,
+}
+
+impl Peer {
+    /// Returns whether the VM's last message is recent enough for it to be
+    /// alive.
+    pub(crate) fn is_alive(&self, cfg: &OwnershipConfig, now: Timestamp) -> bool {
+        let timeout = OwnershipConfig::scaled(cfg.idle_timeout, cfg.idle_interval, self.interval);
+        now.since(self.last_heartbeat) < timeout
+    }
 }
 
 /// The owner of a shard as far as this VM knows.
@@ -35,6 +46,15 @@
     pub load: Load,
     /// Time at which the last report arrived.
     pub last_report: Timestamp,
+    /// Longest time until the next report, as the owner has announced.
+    pub interval: Millis,
+}
+
+impl Owner {
+    /// Returns the time without a report after which the owner counts as lost.
+    fn timeout(&self, cfg: &OwnershipConfig) -> Millis {
+        OwnershipConfig::scaled(cfg.owner_timeout, cfg.heartbeat_interval, self.interval)
+    }
 }
 
 /// A change in the ownership of a shard.
@@ -52,6 +72,17 @@
     Contested(Shard),
 }
 
+impl Change {
+    /// Returns whether this VM's own shards have changed, which the other VMs
+    /// must learn at once.
+    pub fn is_own(&self) -> bool {
+        match self {
+            Change::Taken(..) | Change::Yielded(..) | Change::Contested(_) => true,
+            Change::NewOwner(..) | Change::OwnerLost(..) => false,
+        }
+    }
+}
+
 /// The VMs and shards as one VM sees them.
 #[derive(Debug)]
 pub struct Peers {
@@ -110,6 +141,7 @@
             last_heartbeat: now,
             alive_since: now,
             version: 0,
+            interval: self.cfg.idle_interval,
         });
     }
 
@@ -146,22 +178,24 @@
             info: Some(heartbeat.from),
             last_heartbeat: now,
             version: heartbeat.version,
+            interval: heartbeat.interval,
         };
         self.peers.insert(ip, peer);
         // An owner that no longer reports a shard has given it up.
         let kept = |shard: &Shard| heartbeat.reports.iter().any(|r| r.shard == *shard);
         self.owners
             .retain(|shard, owner| owner.claim.addr != from || kept(shard));
+        let interval = heartbeat.interval;
         let reports = heartbeat.reports.into_iter();
         reports
-            .flat_map(|report| self.receive_report(report, leaving, now))
+            .flat_map(|report| self.receive_report(report, leaving, interval, now))
             .collect()
     }
 
     /// Returns the time since which the sender's process has been alive without
     /// a gap.
     fn alive_since(&self, ip: Ipv4Addr, from: &VmInfo, now: Timestamp) -> Timestamp {
-        let recent = |p: &&Peer| now.since(p.last_heartbeat) < self.cfg.idle_timeout;
+        let recent = |p: &&Peer| p.is_alive(&self.cfg, now);
         let known = self.peers.get(&ip).filter(recent);
         let same = known.filter(|p| {
             let info = p.info.as_ref();
@@ -172,7 +206,14 @@
 
     /// Processes an owner's report of a shard. `leaving` tells that the owner
     /// has begun a planned stop, so that its claim does not win over this VM's.
-    fn receive_report(&mut self, report: Report, leaving: bool, now: Timestamp) -> Vec<Change> {
+    /// `interval` is the time until the owner's next report.
+    fn receive_report(
+        &mut self,
+        report: Report,
+        leaving: bool,
+        interval: Millis,
+        now: Timestamp,
+    ) -> Vec<Change> {
         let Report { shard, claim, load } = report;
         let epoch = self.epochs.entry(shard.clone()).or_default();
         *epoch = (*epoch).max(claim.epoch);
@@ -188,7 +229,13 @@
             return Vec::new();
         }
         let known = self.owners.get(&shard).map(|o| o.claim.addr);
-        self.set_owner(&shard, claim, load, now);
+        let owner = Owner {
+            claim,
+            load,
+            last_report: now,
+            interval,
+        };
+        self.set_owner(&shard, owner);
         let mut changes = Vec::new();
         for (lost, _) in mine {
             self.claims.remove(&lost);
@@ -202,14 +249,9 @@
 
     /// Records another VM as the owner of a shard, in place of the owners of
     /// shards that overlap it.
-    fn set_owner(&mut self, shard: &Shard, claim: Claim, load: Load, now: Timestamp) {
+    fn set_owner(&mut self, shard: &Shard, owner: Owner) {
         self.vacant_since.remove(shard);
         self.owners.retain(|s, _| !s.overlaps(shard));
-        let owner = Owner {
-            claim,
-            load,
-            last_report: now,
-        };
         self.owners.insert(shard.clone(), owner);
     }
 
@@ -223,9 +265,9 @@
     /// that this VM should own. Called at regular intervals.
     pub fn tick(&mut self, shards: &[Shard], now: Timestamp) -> Vec<Change> {
         let mut changes = Vec::new();
-        let timeout = self.cfg.owner_timeout;
+        let cfg = self.cfg;
         self.owners.retain(|shard, owner| {
-            let alive = now.since(owner.last_report) < timeout;
+            let alive = now.since(owner.last_report) < owner.timeout(&cfg);
             if !alive {
                 self.lost_owners.insert(owner.claim.addr, now);
                 changes.push(Change::OwnerLost(shard.clone(), owner.claim.addr));
@@ -342,7 +384,13 @@
                 addr: to,
                 ..mine
             };
-            self.set_owner(shard, claim, Load::default(), now);
+            let owner = Owner {
+                claim,
+                load: Load::default(),
+                last_report: now,
+                interval: self.cfg.heartbeat_interval,
+            };
+            self.set_owner(shard, owner);
         }
     }
 
@@ -380,24 +428,48 @@
         (settled && own && better).then_some(best.addr)
     }
 
-    /// Returns the VMs whose last message is not older than `idle_timeout`.
+    /// Returns the VMs that are alive: four heartbeats in a row have not been
+    /// missed.
     pub fn alive(&self, now: Timestamp) -> impl Iterator<Item = &VmInfo> {
-        let timeout = self.cfg.idle_timeout;
-        let alive = self
-            .peers
-            .values()
-            .filter(move |p| now.since(p.last_heartbeat) < timeout);
+        let alive = self.peers.values();
+        let alive = alive.filter(move |p| p.is_alive(&self.cfg, now));
         alive.filter_map(|p| p.info.as_ref())
     }
 
-    /// Returns whether a VM's last message is not older than `owner_timeout`.
-    pub fn within_timeout(&self, addr: SocketAddr, now: Timestamp) -> bool {
+    /// Returns whether a VM's last message, or the time `since` from which it
+    /// sends heartbeats at the shortest interval, is not older than
+    /// `owner_timeout`.
+    pub fn within_timeout(&self, addr: SocketAddr, since: Timestamp, now: Timestamp) -> bool {
         let std::net::IpAddr::V4(ip) = addr.ip() else {
             return false;
         };
         let timeout = self.cfg.owner_timeout;
         let peer = self.peers.get(&ip);
-        peer.is_some_and(|p| now.since(p.last_heartbeat) < timeout)
+        peer.is_some_and(|p| now.since(p.last_heartbeat.max(since)) < timeout)
+    }
+
+    /// Returns the VMs that would take a shard first if its owner were lost, at
+    /// most `count`.
+    pub fn candidates(&self, shard: &Shard, count: usize, now: Timestamp) -> Vec<Ipv4Addr> {
+        let planned = HashMap::default();
+        let alive = self.alive(now).filter(|vm| !vm.leaving);
+        let mut scored: Vec<_> = alive
+            .map(|vm| (self.score(shard, vm, &planned), vm.addr))
+            .collect();
+        scored.sort_by(|a, b| b.cmp(a));
+        let first = scored.iter().take(count);
+        first
+            .filter_map(|(_, addr)| match addr.ip() {
+                IpAddr::V4(ip) => Some(ip),
+                IpAddr::V6(_) => None,
+            })
+            .collect()
+    }
+
+    /// Returns the number of other VMs that own shards.
+    pub fn owner_count(&self) -> usize {
+        let addrs: HashSet<_> = self.owners.values().map(|o| o.claim.addr).collect();
+        addrs.len()
     }
 
     /// Records a message other than a heartbeat, which also shows that the VM
@@ -408,6 +480,10 @@
             if let Some(peer) = self.peers.get_mut(&ip) {
                 peer.last_heartbeat = now;
             }
+            let owners = self.owners.values_mut();
+            for owner in owners.filter(|o| o.claim.addr == addr) {
+                owner.last_report = now;
+            }
         }
     }
 
@@ -419,9 +495,8 @@
     /// Returns the live VM with the latest configuration, if that is later than
     /// `version`.
     pub fn latest_config(&self, version: u64, now: Timestamp) -> Option<SocketAddr> {
-        let timeout = self.cfg.idle_timeout;
         let alive = self.peers.values();
-        let alive = alive.filter(|p| p.version > version && now.since(p.last_heartbeat) < timeout);
+        let alive = alive.filter(|p| p.version > version && p.is_alive(&self.cfg, now));
         let newest = alive.max_by_key(|p| p.version)?;
         newest.info.as_ref().map(|i| i.addr)
     }
--- a/components/ownership/tests/takeover.rs
+++ b/components/ownership/tests/takeover.rs
@@ -36,8 +36,14 @@
         claim,
         load: Load::default(),
     };
+    let cfg = OwnershipConfig::default();
+    let interval = match claim {
+        Some(_) => cfg.heartbeat_interval,
+        None => cfg.idle_interval,
+    };
     Heartbeat {
         from,
+        interval,
         version: 1,
         reports: claim.map(report).into_iter().collect(),
         known: Vec::new(),
