Divide an owned shard that has outgrown its VM

Cause: the division is chosen when a domain has no owner, from the minions in the register by then. At a cold start that is a few of them, so one owner kept 24 minions with room for 12 on a link of 2 Mbit/s; likewise after minions are added or a large owner hands its shard to a small one. Ruled out: waiting for the register to be complete (nothing tells when it is). Change: an owner with more minions than it has room for divides the shard when another VM of the domain has room for half, keeps both halves, and hands one over as before once both VMs have settled. Jobs stay with the first half; a minion moves to the second when it runs nothing, so no run is cut off. A job that can start at once on several shards is sent to one drawn by free capacity, as all VMs saw the same old report and chose the same first shard.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -191,6 +191,10 @@
             pull_register(&core, now);
             if !stopping(&core) {
                 handover::hand_to_preferred(&core, now);
+                handover::divide_too_large(&core, now);
+            }
+            for owned in core.owned.load().values().filter(|o| o.lock().moving) {
+                drive::sync_register(&core, owned);
             }
         }
         timetable.send(&core, urgent, now).await;
@@ -241,7 +245,7 @@
     {
         let mut state = owned.lock();
         for id in orphaned {
-            log::warn!(job:% = id, shard:% = owned.shard; "job cancelled: no heartbeat from the caller's VM");
+            log::warn!(job:% = id, shard:% = owned.shard(); "job cancelled: no heartbeat from the caller's VM");
             state.waiters.remove(&id);
             state.scheduler.cancel(&id, now);
         }
@@ -304,7 +308,7 @@
     core.metrics.add(Count::ShardTaken, 1);
     core.owned.rcu(|all| {
         let mut all = HashMap::clone(all);
-        all.insert(owned.shard.clone(), owned.clone());
+        all.insert(Shard::clone(&owned.shard()), owned.clone());
         all
     });
 }
--- a/components/engine/src/calls.rs
+++ b/components/engine/src/calls.rs
@@ -222,7 +222,7 @@
 
 impl<M: Minions> PeerHandler<M> {
     async fn handle_job(&self, call: JobCall) -> JobReply {
-        let Some(owned) = self.0.owned(&call.shard) else {
+        let Some(owned) = self.0.owned_part(&call.shard) else {
             return JobReply::NotOwner;
         };
         self.0.peers().refresh(call.from, self.0.now());
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -61,6 +61,14 @@
         self.configuration.load().as_ref().map_or(0, |c| c.version)
     }
 
+    /// Returns the state of a shard, or of one that overlaps it, if this VM owns
+    /// one.
+    pub fn owned_part(&self, shard: &Shard) -> Option<Arc<Owned>> {
+        let owned = self.owned.load();
+        let part = owned.iter().find(|(s, _)| s.overlaps(shard));
+        owned.get(shard).or(part.map(|(_, o)| o)).cloned()
+    }
+
     /// Returns the state of a shard if this VM owns it.
     pub fn owned(&self, shard: &Shard) -> Option<Arc<Owned>> {
         self.owned.load().get(shard).cloned()
--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -60,7 +60,7 @@
                 tokio::spawn(stop_run(core.clone(), owned.clone(), order));
             }
             Action::Settle(id, outcome, sum) => {
-                log::info!(job:% = id, shard:% = owned.shard, outcome:? = outcome, tasks = sum.tasks,
+                log::info!(job:% = id, shard:% = owned.shard(), outcome:? = outcome, tasks = sum.tasks,
                     done = sum.done, failures = sum.failures, expected_ms = sum.expected.0,
                     took_ms = sum.took.0, waited_ms = sum.waited.0; "job ended");
             }
@@ -200,7 +200,7 @@
     };
     if taken {
         log::warn!(minion:% = id, fence = refused.0; "minion taken by another VM");
-        core.peers().record_loss(&owned.shard, minions, now);
+        core.peers().record_loss(&owned.shard(), minions, now);
     }
 }
 
@@ -208,6 +208,7 @@
 /// for each new one.
 pub(crate) fn sync_register<M: Minions>(core: &Arc<Core<M>>, owned: &Arc<Owned>) {
     let register = core.register.load_full();
+    let elsewhere = minions_elsewhere(core, owned);
     let fresh: Vec<_> = {
         let mut state = owned.lock();
         if !state.live {
@@ -216,7 +217,7 @@
         // Without a register the shard has only the minions that were handed
         // over.
         if let Some(register) = register {
-            update_minions(core, owned, &mut state.scheduler, &register);
+            state.moving = update_minions(core, owned, &mut state.scheduler, &register, &elsewhere);
         }
         let ids = state.scheduler.minion_ids();
         let hold_loops = &mut state.hold_loops;
@@ -229,30 +230,50 @@
     }
 }
 
-/// Registers the shard's minions with its scheduler and withdraws those that
-/// are no longer in the register.
+/// Returns the minions in the schedulers of this VM's other shards of the domain.
+fn minions_elsewhere<M>(core: &Core<M>, owned: &Arc<Owned>) -> HashSet<MinionId> {
+    let domain = &owned.shard().domain;
+    let all = core.owned.load();
+    let others = all
+        .iter()
+        .filter(|(s, o)| s.domain == *domain && !Arc::ptr_eq(o, owned));
+    others
+        .flat_map(|(_, o)| o.lock().scheduler.minion_ids())
+        .collect()
+}
+
+/// Registers the shard's minions with its scheduler and withdraws the others. A
+/// minion that is still `elsewhere`, in another shard of this VM, is left there
+/// until it runs nothing. Returns whether minions are still to come or to go.
 fn update_minions<M>(
     core: &Core<M>,
     owned: &Owned,
     scheduler: &mut Scheduler,
     register: &[MinionInfo],
-) {
-    let shards = owned.shard.count;
+    elsewhere: &HashSet<MinionId>,
+) -> bool {
+    let shard = owned.shard();
     let ours = register
         .iter()
-        .filter(|m| m.domain == owned.shard.domain)
-        .filter(|m| shard_of(&m.domain, &m.id, shards) == owned.shard);
+        .filter(|m| m.domain == shard.domain)
+        .filter(|m| shard_of(&m.domain, &m.id, shard.count) == *shard);
+    let mut moving = false;
     let mut listed: HashSet<MinionId> = HashSet::default();
     for info in ours {
         listed.insert(info.id.clone());
+        if elsewhere.contains(&info.id) {
+            moving = true;
+            continue;
+        }
         let fence = lock(&core.tokens).mint();
         scheduler.register(info.clone(), fence);
     }
     for id in scheduler.minion_ids() {
         if !listed.contains(&id) {
-            scheduler.withdraw(&id);
+            moving |= !scheduler.withdraw(&id);
         }
     }
+    moving
 }
 
 /// Time that a VM that seems isolated waits after it has taken a shard's first
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::{Millis, Timestamp};
+use kernel::{HashMap, Millis, Timestamp};
 use ownership::Shard;
 
 use crate::beats;
@@ -101,17 +101,48 @@
     }
 }
 
-/// Hands over those shards of this VM that another VM should own.
+/// Hands over a shard of this VM that another VM should own. It is one at a time,
+/// as each changes which VM has room for the next.
 pub(crate) fn hand_to_preferred<M: Minions>(core: &Arc<Core<M>>, now: Timestamp) {
-    for shard in core.owned.load().keys() {
-        let better = core.peers().better_owner(shard, now);
-        if let Some(to) = better {
-            let (core, shard) = (core.clone(), shard.clone());
-            tokio::spawn(async move { hand_over(&core, &shard, to).await });
-        }
+    let owned = core.owned.load();
+    let settled = owned.iter().filter(|(_, o)| !o.lock().moving);
+    let mut better = settled.filter_map(|(shard, _)| {
+        let to = core.peers().better_owner(shard, now)?;
+        Some((shard.clone(), to))
+    });
+    if let Some((shard, to)) = better.next() {
+        let core = core.clone();
+        tokio::spawn(async move { hand_over(&core, &shard, to).await });
     }
 }
 
+/// Divides a shard that is too large for this VM if another VM has room for half
+/// of it. This VM owns both halves until one is handed over. Jobs stay with the
+/// first half; a minion moves to the second one when it runs nothing.
+pub(crate) fn divide_too_large<M: Minions>(core: &Arc<Core<M>>, now: Timestamp) {
+    let Some(shard) = core.peers().too_large(now) else {
+        return;
+    };
+    let Some(first) = core.owned(&shard).filter(|o| o.lock().live) else {
+        return;
+    };
+    let Some([kept, fresh]) = core.peers().divide(&shard) else {
+        return;
+    };
+    log::info!(shard:% = shard, kept:% = kept, fresh:% = fresh; "shard divided");
+    first.set_shard(kept.clone());
+    let second = Owned::new(fresh.clone(), core.cfg.schedule.clone(), TakePolicy::All);
+    core.owned.rcu(|all| {
+        let mut all = HashMap::clone(all);
+        all.remove(&shard);
+        all.insert(kept.clone(), first.clone());
+        all.insert(fresh.clone(), second.clone());
+        all
+    });
+    drive::sync_register(core, &first);
+    drive::sync_register(core, &second);
+}
+
 /// Takes over a shard, with its jobs and runs, from its previous owner.
 pub(crate) fn accept<M: Minions>(core: &Arc<Core<M>>, handover: Handover) {
     let Handover {
@@ -120,7 +151,7 @@
         state,
         origins,
     } = handover;
-    if core.owned(&shard).is_some() {
+    if core.owned_part(&shard).is_some() {
         log::warn!(shard:% = shard, from:% = from; "handover ignored: shard already owned");
         return;
     }
--- a/components/engine/src/here.rs
+++ b/components/engine/src/here.rs
@@ -67,7 +67,7 @@
                 let load = state.scheduler.load(now);
                 drop(state);
                 drive::run_actions(core, owned);
-                log::info!(job:% = id, shard:% = owned.shard, retry_ms = retry.0, free = load.free,
+                log::info!(job:% = id, shard:% = owned.shard(), retry_ms = retry.0, free = load.free,
                     waiting = load.waiting, cores = load.cores; "job refused: no free capacity in time");
                 return JobReply::Ended(Outcome::Refused { retry });
             }
--- a/components/engine/src/owned.rs
+++ b/components/engine/src/owned.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use arc_swap::ArcSwap;
 use kernel::{HashMap, HashSet, MinionId, Timestamp};
 use ownership::Shard;
 use schedule::{JobId, Outcome, ScheduleConfig, Scheduler};
@@ -58,6 +59,9 @@
     pub unclaimed: HashMap<JobId, (Outcome, Timestamp)>,
     /// Number of submissions so far.
     pub serial: u64,
+    /// True while minions are still to move between this shard and another one
+    /// of this VM.
+    pub moving: bool,
     /// False during a handover and once another VM owns the shard.
     pub live: bool,
 }
@@ -65,8 +69,8 @@
 /// A shard that this VM owns.
 #[derive(Debug)]
 pub(crate) struct Owned {
-    /// Identifies the shard.
-    pub shard: Shard,
+    /// Identifies the shard. It changes when the shard is divided.
+    shard: ArcSwap<Shard>,
     /// State of the shard. The lock is never held across an await.
     state: Mutex<State>,
 }
@@ -75,7 +79,7 @@
     /// Creates the state of a shard that this VM begins to own.
     pub fn new(shard: Shard, cfg: ScheduleConfig, take_policy: TakePolicy) -> Arc<Owned> {
         Arc::new(Owned {
-            shard,
+            shard: ArcSwap::from_pointee(shard),
             state: Mutex::new(State {
                 scheduler: Scheduler::new(cfg),
                 waiters: HashMap::default(),
@@ -83,11 +87,22 @@
                 hold_loops: HashSet::default(),
                 unclaimed: HashMap::default(),
                 serial: 0,
+                moving: false,
                 live: true,
             }),
         })
     }
 
+    /// Returns the shard.
+    pub fn shard(&self) -> Arc<Shard> {
+        self.shard.load_full()
+    }
+
+    /// Reduces the shard to one of its halves.
+    pub fn set_shard(&self, half: Shard) {
+        self.shard.store(Arc::new(half));
+    }
+
     /// Locks the state.
     pub fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/components/engine/src/route.rs
+++ b/components/engine/src/route.rs
@@ -5,6 +5,8 @@
 
 use kernel::Domain;
 use ownership::Shard;
+use rand::Rng;
+use rand::seq::IndexedRandom;
 use schedule::{JobSpec, Load};
 
 /// Milliseconds by which a job must start sooner in another domain to be sent
@@ -28,12 +30,15 @@
     (load.waiting + missing) / load.cores.max(0.001)
 }
 
-/// Sorts the shards by the estimated time until they start the job.
-pub(crate) fn order(
+/// Chooses the shard that is expected to start the job soonest. Of several
+/// that can start it at once, one is drawn by free capacity: reports are up to
+/// some hundred milliseconds old, and all VMs would choose the same one.
+pub(crate) fn choose(
     spec: &JobSpec,
     home: &Domain,
     mut candidates: Vec<Candidate>,
-) -> Vec<Candidate> {
+    rng: &mut impl Rng,
+) -> Option<Candidate> {
     candidates.retain(|c| c.load.minions > 0);
     let cost = |c: &Candidate| {
         let remote = if c.shard.domain == *home {
@@ -43,6 +48,9 @@
         };
         start_delay(spec, &c.load) + remote
     };
-    candidates.sort_by(|a, b| cost(a).total_cmp(&cost(b)).then(a.shard.cmp(&b.shard)));
-    candidates
+    let least = candidates.iter().map(cost).fold(f64::INFINITY, f64::min);
+    candidates.retain(|c| cost(c) <= least);
+    candidates.sort_by(|a, b| a.shard.cmp(&b.shard));
+    let weight = |c: &Candidate| c.load.free.max(1.0);
+    candidates.choose_weighted(rng, weight).ok().cloned()
 }
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -160,7 +160,7 @@
     let now = core.now();
     let owned = core.owned.load();
     let mine = owned.values().map(|o| Candidate {
-        shard: o.shard.clone(),
+        shard: Shard::clone(&o.shard()),
         load: o.lock().scheduler.load(now),
     });
     let mut all: Vec<_> = mine.collect();
@@ -172,8 +172,8 @@
         }));
     }
     all.retain(|c| !tried.contains(&c.shard));
-    let ordered = route::order(spec, &core.cfg.domain, all);
-    ordered.into_iter().next().map(|c| c.shard)
+    let domain = &core.cfg.domain;
+    route::choose(spec, domain, all, &mut rand::rng()).map(|c| c.shard)
 }
 
 /// Returns the job with the time that is left of its objective and timeout.
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -349,7 +349,7 @@
     }
 
     /// Makes this VM the shard's owner under a new epoch.
-    fn claim_shard(&mut self, shard: &Shard) -> Epoch {
+    pub(crate) fn claim_shard(&mut self, shard: &Shard) -> Epoch {
         let known = self.epochs.iter().filter(|(s, _)| s.overlaps(shard));
         let latest = known.map(|(_, epoch)| *epoch).max().unwrap_or_default();
         let epoch = Epoch(latest.0 + 1);
--- a/components/ownership/src/plan.rs
+++ b/components/ownership/src/plan.rs
@@ -84,10 +84,40 @@
         self.carried(vm.addr) + planned + self.size(shard) <= vm.room
     }
 
-    /// Returns whether this VM owns more minions than it has room for, and some
-    /// of them can go to another VM.
+    /// Returns whether this VM owns more minions than it has room for.
     pub(crate) fn is_crowded(&self) -> bool {
-        self.claims.len() > 1 && self.carried(self.me.addr) > self.me.room
+        self.carried(self.me.addr) > self.me.room
+    }
+
+    /// Returns the shard that this VM should divide: it owns more minions than
+    /// it has room for, and another VM has room for half of a shard, but not for
+    /// a whole one.
+    pub fn too_large(&self, now: Timestamp) -> Option<Shard> {
+        if !self.is_crowded() {
+            return None;
+        }
+        let divisible = |s: &&Shard| s.count < MAX_SHARDS && self.size(s) >= MIN_MINIONS * 2;
+        let planned = HashMap::default();
+        let others = self.alive(now).filter(|vm| !vm.leaving);
+        let others: Vec<_> = others.collect();
+        let fits = |shard: &Shard| {
+            let mut home = others.iter().filter(|vm| vm.domain == shard.domain);
+            home.any(|vm| self.fits(shard, vm, &planned))
+        };
+        let shards = self.claims.keys().filter(divisible);
+        let shards = shards.filter(|s| !fits(s) && fits(&s.halves()[1]));
+        shards.max_by_key(|s| self.size(s)).cloned()
+    }
+
+    /// Divides a shard of this VM, which owns both halves from then on. Returns
+    /// `None` if it does not own the shard.
+    pub fn divide(&mut self, shard: &Shard) -> Option<[Shard; 2]> {
+        self.claims.remove(shard)?;
+        let halves = shard.halves();
+        for half in &halves {
+            self.claim_shard(half);
+        }
+        Some(halves)
     }
 
     /// Returns a VM's score as owner of a shard. VMs of the shard's domain rank
--- a/components/ownership/src/shard.rs
+++ b/components/ownership/src/shard.rs
@@ -24,6 +24,16 @@
         let count = self.count.min(other.count).max(1);
         self.domain == other.domain && self.index % count == other.index % count
     }
+
+    /// Returns the two halves of the shard.
+    pub fn halves(&self) -> [Shard; 2] {
+        let count = self.count.max(1);
+        [self.index, self.index + count].map(|index| Shard {
+            domain: self.domain.clone(),
+            index,
+            count: count * 2,
+        })
+    }
 }
 
 impl fmt::Display for Shard {
