Send a heartbeat at once to each address that becomes known

Cause: a VM that starts reads the list of VMs within milliseconds, but its first heartbeat to them comes with the next regular one, 500 ms later, which is when it may claim. So at a cold start most VMs claim every shard of their domain at once, and the winner keeps all of them until others have been there for 3 s. Ruled out: reading the list late (it is kept in the store over the loss of power). Change: addresses that become known get a heartbeat within a tick, and the others answer a new VM at once as before. A VM with more minions than it has room for hands shards over after listen_time instead of settle_time.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -97,6 +97,11 @@
 impl Timetable {
     /// Sends the heartbeats that are due. With `urgent` all VMs get one.
     async fn send<M>(&mut self, core: &Core<M>, urgent: bool, now: Timestamp) {
+        let fresh = core.peers().take_fresh();
+        if !fresh.is_empty() {
+            let heartbeat = own_heartbeat(core, MAX_KNOWN, now);
+            send_to(core, &heartbeat, &fresh).await;
+        }
         let least = core.cfg.ownership.heartbeat_interval;
         if !urgent && now.since(self.last_short) < least {
             return;
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -1,6 +1,7 @@
 //! Tracks other VMs and the owners of shards, and decides when this VM takes a
 //! shard.
 
+use std::collections::hash_map::Entry;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use kernel::{Domain, Epoch, HashMap, HashSet, Millis, Timestamp};
@@ -103,6 +104,8 @@
     pub(crate) minion_losses: HashMap<Shard, MinionLosses>,
     /// Shards that this VM gave up as contested.
     pub(crate) yielded: HashMap<Shard, Yielded>,
+    /// Addresses that became known since they were last taken.
+    pub(crate) fresh: Vec<Ipv4Addr>,
     /// Number of minions in each domain, as far as this VM knows the register.
     pub(crate) minions: HashMap<Domain, u32>,
 }
@@ -122,6 +125,7 @@
             lost_owners: HashMap::default(),
             minion_losses: HashMap::default(),
             yielded: HashMap::default(),
+            fresh: Vec::new(),
             minions: HashMap::default(),
         }
     }
@@ -136,13 +140,25 @@
         if SocketAddr::from((addr, 0)).ip() == self.me.addr.ip() {
             return;
         }
-        self.peers.entry(addr).or_insert(Peer {
-            info: None,
-            last_heartbeat: now,
-            alive_since: now,
-            version: 0,
-            interval: self.cfg.idle_interval,
-        });
+        if let Entry::Vacant(entry) = self.peers.entry(addr) {
+            entry.insert(Peer {
+                info: None,
+                last_heartbeat: now,
+                alive_since: now,
+                version: 0,
+                interval: self.cfg.idle_interval,
+            });
+            self.fresh.push(addr);
+        }
+    }
+
+    /// Returns the addresses that became known since the last call and from
+    /// which no heartbeat has arrived. They get one at once, so that VMs that
+    /// start together know each other before `listen_time` is over.
+    pub fn take_fresh(&mut self) -> Vec<Ipv4Addr> {
+        let fresh = std::mem::take(&mut self.fresh);
+        let silent = |ip: &Ipv4Addr| self.peers.get(ip).is_some_and(|p| p.info.is_none());
+        fresh.into_iter().filter(silent).collect()
     }
 
     /// Returns whether this VM has not seen the process of a VM before, and
@@ -413,18 +429,24 @@
     /// for the shard, and is a VM of the shard's domain if this one is in
     /// another domain, or of at least twice this VM's size, or this VM owns more
     /// than it has room for. Both VMs must have been alive for `settle_time`, as
-    /// each handover has a cost.
+    /// each handover has a cost, or for `listen_time` in the last case.
     pub fn better_owner(&self, shard: &Shard, now: Timestamp) -> Option<SocketAddr> {
         let best = self.successor(shard, false, now)?;
         let IpAddr::V4(ip) = best.addr.ip() else {
             return None;
         };
-        let settled = self.peers.get(&ip)?.alive_since.after(self.cfg.settle_time) <= now;
-        let own = self.started.after(self.cfg.settle_time) <= now;
         let away = self.me.domain != shard.domain;
         let larger = best.share >= self.me.share.saturating_mul(2);
+        let crowded = self.is_crowded();
+        // Waiting costs more than a handover while this VM has too little room.
+        let wait = match crowded {
+            true => self.cfg.listen_time,
+            false => self.cfg.settle_time,
+        };
+        let settled = self.peers.get(&ip)?.alive_since.after(wait) <= now;
+        let own = self.started.after(wait) <= now;
         let fits = self.fits(shard, &best, &HashMap::default());
-        let better = away || fits && (larger || self.is_crowded());
+        let better = away || fits && (larger || crowded);
         (settled && own && better).then_some(best.addr)
     }
 
