Unite halves on a VM with room; count the link's queue as waiting time

Cause 2: jobs are admitted by free cores alone while their starts wait for the owner's link, and holds that time out behind them are repeated every 40 ms. Ruled out: fewer candidates for the short heartbeats, slower handovers. Change 1: without room the domain stays whole, as its owner can divide it later; a VM that owns both halves of a shard and has room puts them together.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -197,6 +197,7 @@
             if !stopping(&core) {
                 handover::hand_to_preferred(&core, now);
                 handover::divide_too_large(&core, now);
+                handover::unite_halves(&core, now);
             }
             for owned in core.owned.load().values().filter(|o| o.lock().moving) {
                 drive::sync_register(&core, owned);
@@ -254,6 +255,7 @@
             state.waiters.remove(&id);
             state.scheduler.cancel(&id, now);
         }
+        state.scheduler.set_delay(core.link_delay());
         state
             .unclaimed
             .retain(|_, (_, since)| now.since(*since).0 <= UNCLAIMED_MS);
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use kernel::{BootClock, Clock, HashMap, Timestamp};
+use kernel::{BootClock, Clock, HashMap, Millis, Timestamp};
 use metrics::Metrics;
 use ownership::{Peers, Shard, Tokens};
 use schedule::MinionInfo;
@@ -51,6 +51,11 @@
         self.clock.now()
     }
 
+    /// Returns the time that a start order waits for this VM's link.
+    pub fn link_delay(&self) -> Millis {
+        Millis(self.cfg.link.delay().as_millis() as u64)
+    }
+
     /// Locks the state of other VMs and of ownership.
     pub fn peers(&self) -> MutexGuard<'_, Peers> {
         lock(&self.peers)
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -6,6 +6,7 @@
 
 use kernel::{HashMap, Millis, Timestamp};
 use ownership::Shard;
+use schedule::{JobId, Transfer};
 
 use crate::beats;
 use crate::calls::{Handover, call_handover};
@@ -52,25 +53,14 @@
         return;
     };
     let now = core.now();
-    let handover = {
-        let mut state = owned.lock();
-        if !state.live {
-            return;
-        }
-        // No new run is started from here on.
-        state.live = false;
-        state.scheduler.freeze(true);
-        let from = |w: &Waiter| w.from.unwrap_or(core.cfg.peer_addr);
-        Handover {
-            shard: shard.clone(),
-            from: core.cfg.peer_addr,
-            state: state.scheduler.export(now),
-            origins: state
-                .waiters
-                .iter()
-                .map(|(id, w)| (id.clone(), from(w)))
-                .collect(),
-        }
+    let Some((state, origins)) = freeze(core, &owned, now) else {
+        return;
+    };
+    let handover = Handover {
+        shard: shard.clone(),
+        from: core.cfg.peer_addr,
+        state,
+        origins,
     };
     let jobs = handover.state.jobs.len();
     match call_handover(core, to, &handover).await {
@@ -101,6 +91,27 @@
     }
 }
 
+/// The VM that took each job from its caller.
+type Origins = Vec<(JobId, SocketAddr)>;
+
+/// Stops starting runs on a shard and returns its state for the next owner, or
+/// `None` if it is being handed over already.
+fn freeze<M: Minions>(
+    core: &Arc<Core<M>>,
+    owned: &Owned,
+    now: Timestamp,
+) -> Option<(Transfer, Origins)> {
+    let mut state = owned.lock();
+    if !state.live {
+        return None;
+    }
+    state.live = false;
+    state.scheduler.freeze(true);
+    let from = |w: &Waiter| w.from.unwrap_or(core.cfg.peer_addr);
+    let origins = state.waiters.iter().map(|(id, w)| (id.clone(), from(w)));
+    Some((state.scheduler.export(now), origins.collect()))
+}
+
 /// Hands over a shard of this VM that another VM should own. It is one at a time,
 /// as each changes which VM has room for the next.
 pub(crate) fn hand_to_preferred<M: Minions>(core: &Arc<Core<M>>, now: Timestamp) {
@@ -141,6 +152,8 @@
     });
     drive::sync_register(core, &first);
     drive::sync_register(core, &second);
+    let core = core.clone();
+    tokio::spawn(async move { beats::announce(&core).await });
 }
 
 /// Takes over a shard, with its jobs and runs, from its previous owner.
@@ -157,24 +170,57 @@
     }
     log::info!(shard:% = shard, from:% = from, jobs = state.jobs.len(); "shard accepted");
     core.peers().accept(&shard);
+    install_transfers(core, &shard, vec![(state, origins)]);
+    let core = core.clone();
+    tokio::spawn(async move { beats::announce(&core).await });
+}
+
+/// Begins to own a shard with the jobs and minions of its previous owners.
+fn install_transfers<M: Minions>(
+    core: &Arc<Core<M>>,
+    shard: &Shard,
+    transfers: Vec<(Transfer, Origins)>,
+) {
     let now = core.now();
     let owned = Owned::new(shard.clone(), core.cfg.schedule.clone(), TakePolicy::All);
     {
         let mut locked = owned.lock();
         let mut tokens = lock(&core.tokens);
-        locked.scheduler.import(now, state, || tokens.mint());
-        for (id, origin) in origins {
-            let waiter = Waiter {
-                reply_tx: None,
-                from: Some(origin),
-                since: now,
-                serial: 0,
-            };
-            locked.waiters.insert(id, waiter);
+        for (state, origins) in transfers {
+            locked.scheduler.import(now, state, || tokens.mint());
+            for (id, origin) in origins {
+                let waiter = Waiter {
+                    reply_tx: None,
+                    from: Some(origin),
+                    since: now,
+                    serial: 0,
+                };
+                locked.waiters.insert(id, waiter);
+            }
         }
     }
     beats::install(core, &owned);
     drive::sync_register(core, &owned);
+}
+
+/// Puts two halves of a shard together if this VM owns both and has room for
+/// them: one queue serves jobs better than two.
+pub(crate) fn unite_halves<M: Minions>(core: &Arc<Core<M>>, now: Timestamp) {
+    let Some(shard) = core.peers().divided_needlessly(core.cfg.shards) else {
+        return;
+    };
+    let halves = shard.halves();
+    let owned: Vec<_> = halves.iter().filter_map(|half| core.owned(half)).collect();
+    let settled = |o: &Arc<Owned>| Some(o.lock()).is_some_and(|s| s.live && !s.moving);
+    if owned.len() < halves.len() || !owned.iter().all(settled) || !core.peers().unite(&shard) {
+        return;
+    }
+    log::info!(shard:% = shard; "shard united");
+    let transfers = owned.iter().filter_map(|o| freeze(core, o, now));
+    install_transfers(core, &shard, transfers.collect());
+    for half in &halves {
+        beats::give_up(core, half, Some(core.cfg.peer_addr));
+    }
     let core = core.clone();
     tokio::spawn(async move { beats::announce(&core).await });
 }
--- a/components/engine/src/route.rs
+++ b/components/engine/src/route.rs
@@ -27,7 +27,7 @@
     let step = &spec.steps[0];
     let need = f64::from(step.count) * f64::from(step.need.cpu.0) / 1000.0;
     let missing = (need - load.free).max(0.0) * step.estimate.0 as f64;
-    (load.waiting + missing) / load.cores.max(0.001)
+    (load.waiting + missing) / load.cores.max(0.001) + load.delay.0 as f64
 }
 
 /// Chooses the shard that is expected to start the job soonest. Of several
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -273,7 +273,7 @@
             return Outcome::Lost;
         }
         let ending = if to == core.cfg.peer_addr {
-            match core.owned(shard) {
+            match core.owned_part(shard) {
                 Some(owned) => resume_local(core, &owned, &spec.id, None).await,
                 None => return Outcome::Lost,
             }
--- a/components/ownership/src/plan.rs
+++ b/components/ownership/src/plan.rs
@@ -42,21 +42,25 @@
         (0..count).map(shard).collect()
     }
 
-    /// Returns the least number of shards for which the domain's VMs have room.
-    /// If they have room for no number, shards are as small as possible.
+    /// Returns the least number of shards for which the domain's VMs have room. If
+    /// the VMs known so far have room for none, the domain has the fewest shards:
+    /// its owner divides it when it learns of others.
     fn division(&self, domain: &Domain, fewest: u16, now: Timestamp) -> u16 {
         let minions = self.minions.get(domain).copied().unwrap_or(0);
         let home = self.alive(now).chain([&self.me]);
         let home = home.filter(|vm| vm.domain == *domain && !vm.leaving);
         let rooms: Vec<u32> = home.map(|vm| vm.room).collect();
-        let mut count = fewest.max(1).next_power_of_two();
+        let fewest = fewest.max(1).next_power_of_two();
+        let mut count = fewest;
         loop {
             let size = minions.div_ceil(u32::from(count)).max(1);
             let places: u32 = rooms.iter().map(|room| room / size).sum();
-            let smallest = count * 2 > MAX_SHARDS || size < MIN_MINIONS * 2;
-            if places >= u32::from(count) || smallest || rooms.is_empty() {
+            if places >= u32::from(count) {
                 return count;
             }
+            if count >= MAX_SHARDS || size < MIN_MINIONS * 2 {
+                return fewest;
+            }
             count *= 2;
         }
     }
@@ -109,6 +113,32 @@
         shards.max_by_key(|s| self.size(s)).cloned()
     }
 
+    /// Returns the shard that this VM should put together: it owns both halves
+    /// and has room for all of its minions.
+    pub fn divided_needlessly(&self, fewest: u16) -> Option<Shard> {
+        if self.is_crowded() {
+            return None;
+        }
+        let halves = self.claims.keys().filter(|s| s.count > fewest.max(1));
+        let wholes = halves.filter_map(Shard::whole);
+        let mut owned = wholes.filter(|s| s.halves().iter().all(|h| self.claims.contains_key(h)));
+        owned.next()
+    }
+
+    /// Puts both halves of a shard together, which this VM owns, and returns
+    /// whether it does.
+    pub fn unite(&mut self, shard: &Shard) -> bool {
+        let halves = shard.halves();
+        if !halves.iter().all(|half| self.claims.contains_key(half)) {
+            return false;
+        }
+        for half in &halves {
+            self.claims.remove(half);
+        }
+        self.claim_shard(shard);
+        true
+    }
+
     /// Divides a shard of this VM, which owns both halves from then on. Returns
     /// `None` if it does not own the shard.
     pub fn divide(&mut self, shard: &Shard) -> Option<[Shard; 2]> {
--- a/components/ownership/src/shard.rs
+++ b/components/ownership/src/shard.rs
@@ -25,6 +25,17 @@
         self.domain == other.domain && self.index % count == other.index % count
     }
 
+    /// Returns the shard of which this one is a half, or `None` if it is a whole
+    /// domain.
+    pub fn whole(&self) -> Option<Shard> {
+        let count = self.count / 2;
+        (count > 0).then(|| Shard {
+            domain: self.domain.clone(),
+            index: self.index % count,
+            count,
+        })
+    }
+
     /// Returns the two halves of the shard.
     pub fn halves(&self) -> [Shard; 2] {
         let count = self.count.max(1);
--- /dev/null
+++ b/components/ownership/tests/division.rs
@@ -0,0 +1,198 @@
+//! Tests how a domain's minions are divided among VMs of different sizes.
+
+use std::net::SocketAddr;
+
+use kernel::{BitRate, Incarnation, MilliCores, Millis, Timestamp};
+use ownership::{Change, Heartbeat, OwnershipConfig, Peers, Room, Shard, VmInfo, shard_of};
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(ms * 1_000)
+}
+
+fn vm(number: u8, room: u32) -> VmInfo {
+    VmInfo {
+        addr: SocketAddr::from(([10, 0, 0, number], 1)),
+        domain: "suva-a".parse().unwrap(),
+        share: 100,
+        room,
+        incarnation: "0123456789abcdef0123456789abcdef"
+            .parse::<Incarnation>()
+            .unwrap(),
+        leaving: false,
+    }
+}
+
+fn shard(index: u16, count: u16) -> Shard {
+    Shard {
+        domain: "suva-a".parse().unwrap(),
+        index,
+        count,
+    }
+}
+
+/// Returns what a VM knows that has heard from the other VMs of its domain.
+fn peers(me: &VmInfo, all: &[VmInfo], minions: u32) -> Peers {
+    let mut peers = Peers::new(OwnershipConfig::default(), me.clone(), at(0));
+    peers.set_minions([(me.domain.clone(), minions)].into_iter().collect());
+    for other in all.iter().filter(|vm| vm.addr != me.addr) {
+        peers.receive(
+            heartbeat(
+                other,
+                &Peers::new(OwnershipConfig::default(), other.clone(), at(0)),
+            ),
+            at(0),
+        );
+    }
+    peers
+}
+
+fn heartbeat(from: &VmInfo, state: &Peers) -> Heartbeat {
+    let reports = state.claims().map(|(shard, claim)| ownership::Report {
+        shard: shard.clone(),
+        claim: *claim,
+        load: schedule::Load::default(),
+    });
+    Heartbeat {
+        from: from.clone(),
+        interval: Millis(100),
+        version: 1,
+        reports: reports.collect(),
+        known: Vec::new(),
+    }
+}
+
+fn division(rooms: &[u32], minions: u32) -> usize {
+    let all: Vec<_> = rooms.iter().zip(1..).map(|(r, n)| vm(n, *r)).collect();
+    let peers = peers(&all[0], &all, minions);
+    peers.shards(&all[0].domain, 1, at(10)).len()
+}
+
+#[test]
+fn by_room() {
+    assert_eq!(division(&[300, 80, 80], 220), 1);
+    assert_eq!(division(&[80; 4], 220), 4);
+    assert_eq!(division(&[12; 4], 24), 2);
+    // Not even all VMs together have room: it is not divided in vain.
+    assert_eq!(division(&[80], 220), 1);
+    assert_eq!(division(&[10, 10], 24), 1);
+}
+
+/// Lets all VMs decide on their own, with heartbeats that arrive at once, and
+/// returns what each owns after some seconds.
+fn settle(all: &[VmInfo], minions: u32) -> Vec<(VmInfo, Peers)> {
+    let mut fleet: Vec<_> = all
+        .iter()
+        .map(|me| (me.clone(), peers(me, all, minions)))
+        .collect();
+    for ms in (500..6_000).step_by(25) {
+        for i in 0..fleet.len() {
+            let (me, state) = &mut fleet[i];
+            let shards = state.shards(&me.domain, 1, at(ms));
+            state.tick(&shards, at(ms));
+            if let Some(large) = state.too_large(at(ms)) {
+                state.divide(&large);
+            }
+            let sent = heartbeat(me, state);
+            let handed = state
+                .claims()
+                .find_map(|(s, _)| Some((s.clone(), state.better_owner(s, at(ms))?)));
+            for (_, other) in fleet.iter_mut() {
+                other.receive(sent.clone(), at(ms));
+            }
+            if let Some((shard, to)) = handed {
+                fleet[i].1.hand_over(&shard, to, at(ms));
+                let next = fleet.iter_mut().find(|(vm, _)| vm.addr == to).unwrap();
+                next.1.accept(&shard);
+            }
+        }
+    }
+    fleet
+}
+
+#[test]
+fn one_owner_each() {
+    let all: Vec<_> = (1..=40).map(|n| vm(n, 20)).collect();
+    let fleet = settle(&all, 220);
+    let mut owned: Vec<_> = fleet
+        .iter()
+        .flat_map(|(_, state)| state.claims().map(|(s, _)| s.clone()))
+        .collect();
+    owned.sort();
+    assert_eq!(owned, (0..16).map(|i| shard(i, 16)).collect::<Vec<_>>());
+    let most = fleet.iter().map(|(_, state)| state.claims().count()).max();
+    assert_eq!(most, Some(1));
+}
+
+#[test]
+fn whole_domain() {
+    let mut all: Vec<_> = (1..=40).map(|n| vm(n, 20)).collect();
+    all[7].room = 300;
+    all[7].share = 500;
+    let fleet = settle(&all, 220);
+    let owned: Vec<_> = fleet
+        .iter()
+        .flat_map(|(vm, state)| state.claims().map(|(s, _)| (vm.addr, s.clone())))
+        .collect();
+    assert_eq!(owned, [(all[7].addr, shard(0, 1))]);
+}
+
+#[test]
+fn larger_shard() {
+    // At the same epoch the claim of the less divided shard wins, so that a VM
+    // that knew few others does not decide the division.
+    let all = [vm(1, 300), vm(2, 20)];
+    let mut whole = peers(&all[0], &all, 220);
+    let mut part = peers(&all[1], &all, 220);
+    whole.accept(&shard(0, 1));
+    part.accept(&shard(1, 2));
+    assert!(whole.receive(heartbeat(&all[1], &part), at(10)).is_empty());
+    let changes = part.receive(heartbeat(&all[0], &whole), at(10));
+    assert_eq!(changes, [Change::Yielded(shard(1, 2), all[0].addr)]);
+}
+
+#[test]
+fn later_division() {
+    // After a division the claims to the halves win over the one to the whole.
+    let all = [vm(1, 100), vm(2, 300)];
+    let mut old = peers(&all[1], &all, 220);
+    old.accept(&shard(0, 1));
+    let mut new = peers(&all[0], &all, 220);
+    new.receive(heartbeat(&all[1], &old), at(10));
+    new.tick(&[], at(2_600));
+    new.accept(&shard(0, 1));
+    new.divide(&shard(0, 1));
+    let changes = old.receive(heartbeat(&all[0], &new), at(2_700));
+    assert!(changes.contains(&Change::Yielded(shard(0, 1), all[0].addr)));
+    assert!(!old.owns(&shard(0, 1)));
+}
+
+#[test]
+fn nested_shards() {
+    let minions = (0..200).map(|i| format!("m-{i}").parse().unwrap());
+    let domain = "suva-a".parse().unwrap();
+    for minion in minions {
+        let half = shard_of(&domain, &minion, 8);
+        let whole = shard_of(&domain, &minion, 2);
+        assert!(half.overlaps(&whole) && whole.overlaps(&half));
+        assert_eq!(half.whole().unwrap(), shard_of(&domain, &minion, 4));
+        assert!(half.whole().unwrap().halves().contains(&half));
+    }
+    assert!(!shard(0, 2).overlaps(&shard(3, 4)));
+}
+
+#[test]
+fn least_resource() {
+    let room = |share, megabits: u64, descriptors| {
+        let room = Room {
+            share: MilliCores(share),
+            link: BitRate(megabits * 1_000_000),
+            descriptors,
+        };
+        room.minions()
+    };
+    assert!(room(500, 200, 8_192) >= 220);
+    assert!(room(120, 2, 4_100) < 24);
+    assert!(room(120, 1_000, 4_100) < room(500, 1_000, 4_100));
+    assert!(room(500, 1_000, 200) < room(500, 1_000, 4_100));
+    assert_eq!(room(1, 0, 0), 1);
+}
--- a/components/schedule/src/admission.rs
+++ b/components/schedule/src/admission.rs
@@ -56,6 +56,8 @@
     pub urgent: f64,
     /// Expected time until the job's last task ends if the job starts at once.
     pub expected: Millis,
+    /// Time that a start order waits before it is sent.
+    pub delay: Millis,
 }
 
 /// Decides whether to admit a job.
@@ -73,7 +75,7 @@
     let urgent = backlog.urgent * URGENT_FRACTION;
     let cores = (backlog.cores - urgent).max(backlog.cores * MIN_CORES_FRACTION);
     let work = (backlog.ahead * AHEAD_FACTOR + backlog.own - backlog.free).max(0.0);
-    let wait = Millis((work / cores) as u64);
+    let wait = Millis((work / cores) as u64 + backlog.delay.0);
     // A job that can meet its objective may wait as long as its slack. One that
     // can't is not worth the capacity of those that can.
     let slack = spec.objective.0.saturating_sub(backlog.expected.0);
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -1,7 +1,7 @@
 //! The scheduler's state: the jobs and minions of one shard.
 
 use compact_str::CompactString;
-use kernel::{Fence, HashMap, LeaseTime, MinionId, RunNumber, Timestamp};
+use kernel::{Fence, HashMap, LeaseTime, Millis, MinionId, RunNumber, Timestamp};
 use serde::{Deserialize, Serialize};
 
 use crate::action::Action;
@@ -26,6 +26,8 @@
     pub free: f64,
     /// Estimated work of waiting tasks, in core milliseconds.
     pub waiting: f64,
+    /// Time that a start order waits for the owner's link.
+    pub delay: Millis,
 }
 
 /// Run numbers used by a job that has ended.
@@ -48,6 +50,8 @@
     pub(crate) ended_jobs: HashMap<JobId, EndedJob>,
     /// Moving average of actual over estimated run time, by queue.
     pub(crate) ratios: HashMap<CompactString, f64>,
+    /// Time that a start order waits before it is sent.
+    pub(crate) delay: Millis,
     /// Recent rate of admitted work, by priority.
     pub(crate) demand: Demand,
     pub(crate) actions: Vec<Action>,
@@ -66,12 +70,18 @@
             queue: Vec::new(),
             ended_jobs: HashMap::default(),
             ratios: HashMap::default(),
+            delay: Millis(0),
             demand: Demand::default(),
             actions: Vec::new(),
             frozen: false,
         }
     }
 
+    /// Sets the time that a start order waits before it is sent.
+    pub fn set_delay(&mut self, delay: Millis) {
+        self.delay = delay;
+    }
+
     /// Returns the actions since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -146,6 +156,7 @@
         }
         let queued = self.queue.iter().filter_map(|id| self.jobs.get(id));
         load.waiting = queued.map(|job| self.waiting_work(job)).sum();
+        load.delay = self.delay;
         load
     }
 
@@ -176,6 +187,7 @@
             cores,
             urgent: self.demand.cores_above(job.spec.priority, now),
             expected,
+            delay: self.delay,
         };
         let admission = decide(&job.spec, backlog, &self.cfg);
         if admission == Admission::Taken {
--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -3,6 +3,7 @@
 //! extended by that time, and large messages wait for their turn so that the
 //! queue stays short for heartbeats and holds (docs/design/platform.md#link).
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,27 @@
     busy_until: Arc<Mutex<Instant>>,
     /// Orders the large messages that wait for their turn.
     turn: Arc<tokio::sync::Mutex<()>>,
+    /// Bytes of the large messages that wait for their turn.
+    waiting: Arc<AtomicU64>,
+}
+
+/// Bytes of a large message that count as waiting until this is dropped.
+struct Waiting<'a> {
+    total: &'a AtomicU64,
+    bytes: u64,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(total: &'a AtomicU64, bytes: u64) -> Waiting<'a> {
+        total.fetch_add(bytes, Ordering::Relaxed);
+        Waiting { total, bytes }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.total.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
 }
 
 impl Link {
@@ -32,6 +54,7 @@
             rate: rate.max(BitRate(1)),
             busy_until: Arc::new(Mutex::new(Instant::now())),
             turn: Arc::default(),
+            waiting: Arc::default(),
         }
     }
 
@@ -49,11 +72,21 @@
         until.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the time that a large message waits that is to be sent now.
+    pub fn delay(&self) -> Duration {
+        let waiting = self.waiting.load(Ordering::Relaxed) as usize;
+        self.backlog() + self.span(waiting)
+    }
+
+    /// Returns the time that the link needs for `bytes` bytes.
+    fn span(&self, bytes: usize) -> Duration {
+        Duration::from_secs_f64(bytes as f64 * 8.0 / self.rate.0 as f64)
+    }
+
     /// Records a message of `bytes` bytes and returns the time until it has been
     /// sent.
     pub fn reserve(&self, bytes: usize) -> Duration {
-        let bits = (bytes + PACKET_BYTES) as f64 * 8.0;
-        let span = Duration::from_secs_f64(bits / self.rate.0 as f64);
+        let span = self.span(bytes + PACKET_BYTES);
         let mut until = self
             .busy_until
             .lock()
@@ -66,6 +99,7 @@
     /// Waits until the queue is short, in the order of the calls, records a
     /// message of `bytes` bytes and returns the time until it has been sent.
     pub async fn pace(&self, bytes: usize) -> Duration {
+        let _waiting = Waiting::new(&self.waiting, bytes as u64);
         let _turn = self.turn.lock().await;
         loop {
             let backlog = self.backlog();
