Time large answers by their parts, not as a whole

Cause: an answer of the store must be complete 350 ms after the request, one of another VM after 500 ms. Ruled out: a slow store (other reads were answered in 4 ms), the loss of owners. Change: Client::fetch times the headers and each gap between parts of the body. A connection that stalls is given up as soon as before.

--- a/components/engine/src/calls.rs
+++ b/components/engine/src/calls.rs
@@ -12,7 +12,7 @@
 use schedule::{JobId, JobSpec, MinionInfo, Outcome, Transfer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use wire::{CallError, CodecError, Handler, decode, encode, read_body};
+use wire::{CallError, CodecError, Handler, Reply, decode, encode, read_body};
 
 use crate::control::Minions;
 use crate::core::Core;
@@ -126,13 +126,42 @@
     body: &Q,
     wait: Duration,
 ) -> Result<R, PeerError> {
+    let (req, delay) = peer_request(core, to, path, body)?;
+    let reply = core.client.call(to, req, wait + delay).await;
+    decode_reply(reply)
+}
+
+/// Reads something from another VM that can be large. `wait` is for the headers
+/// and for each part of the answer.
+async fn fetch_peer<M, R: DeserializeOwned>(
+    core: &Core<M>,
+    to: SocketAddr,
+    path: &str,
+    wait: Duration,
+) -> Result<R, PeerError> {
+    let (req, delay) = peer_request(core, to, path, &())?;
+    let reply = core.client.fetch(to, req, wait + delay).await;
+    decode_reply(reply)
+}
+
+/// Builds a request to another VM and returns it with the time until it will have
+/// left this VM's link.
+fn peer_request<M, Q: Serialize>(
+    core: &Core<M>,
+    to: SocketAddr,
+    path: &str,
+    body: &Q,
+) -> Result<(Request<Full<Bytes>>, Duration), PeerError> {
     let body = encode(body).map_err(PeerError::Codec)?;
-    let wait = wait + core.cfg.link.reserve(HEAD_BYTES + body.len());
+    let delay = core.cfg.link.reserve(HEAD_BYTES + body.len());
     let req = Request::post(path)
         .header(hyper::header::HOST, to.to_string())
         .body(Full::new(body))
         .map_err(|_| PeerError::Status(StatusCode::BAD_REQUEST))?;
-    let reply = core.client.call(to, req, wait).await;
+    Ok((req, delay))
+}
+
+fn decode_reply<R: DeserializeOwned>(reply: Result<Reply, CallError>) -> Result<R, PeerError> {
     let reply = reply.map_err(PeerError::Call)?;
     if reply.status != StatusCode::OK {
         return Err(PeerError::Status(reply.status));
@@ -164,7 +193,7 @@
     core: &Core<M>,
     to: SocketAddr,
 ) -> Result<Option<Configuration>, PeerError> {
-    call_peer(core, to, CONFIGURATION, &(), MESSAGE_TIMEOUT).await
+    fetch_peer(core, to, CONFIGURATION, MESSAGE_TIMEOUT).await
 }
 
 /// Reads another VM's register of minions.
@@ -172,7 +201,7 @@
     core: &Core<M>,
     to: SocketAddr,
 ) -> Result<Option<Vec<MinionInfo>>, PeerError> {
-    call_peer(core, to, REGISTER, &(), MESSAGE_TIMEOUT).await
+    fetch_peer(core, to, REGISTER, MESSAGE_TIMEOUT).await
 }
 
 /// Handles the calls of other VMs.
--- a/components/wire/src/body.rs
+++ b/components/wire/src/body.rs
@@ -3,10 +3,10 @@
 use std::fmt;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Why a body could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,6 +59,29 @@
     }
 }
 
+/// Reads a body of any duration whose parts arrive at most `gap` apart.
+///
+/// # Errors
+///
+/// Fails when the body is longer than `max` bytes, when no part of it arrives for
+/// longer than `gap`, or when the connection breaks.
+pub async fn read_parts(mut body: Incoming, max: usize, gap: Duration) -> Result<Bytes, BodyError> {
+    let mut whole = BytesMut::new();
+    loop {
+        let frame = match timeout(gap, body.frame()).await {
+            Err(_) => return Err(BodyError::Timeout),
+            Ok(None) => return Ok(whole.freeze()),
+            Ok(Some(Err(_))) => return Err(BodyError::Broken),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        let part = frame.into_data().unwrap_or_default();
+        if whole.len() + part.len() > max {
+            return Err(BodyError::TooLong);
+        }
+        whole.extend_from_slice(&part);
+    }
+}
+
 /// Reads and drops the rest of a body, up to [`DISCARD_LIMIT`] bytes.
 async fn discard(mut body: Incoming) {
     let mut remaining = DISCARD_LIMIT;
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -18,7 +18,7 @@
 use kernel::HashMap;
 use tokio::task::AbortHandle;
 
-use crate::body::{BodyError, read_body};
+use crate::body::{BodyError, read_body, read_parts};
 use crate::connect::Connect;
 
 /// Limits on the connections to one address.
@@ -213,20 +213,47 @@
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
         timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        self.call_within(addr, req, BodyWait::Whole, timeout).await
+    }
+
+    /// Sends a request whose response may be large. `timeout` is for its headers
+    /// and for each gap between parts of its body, as a slow link can need longer
+    /// for the whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Client::call`].
+    pub async fn fetch(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        let wait = BodyWait::EachPart(timeout);
+        self.call_within(addr, req, wait, timeout).await
+    }
+
+    async fn call_within(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        wait: BodyWait,
+        timeout: Duration,
     ) -> Result<Reply, CallError> {
         let deadline = tokio::time::Instant::now() + timeout;
         let mut req = req;
         // If an idle connection turns out to be closed, the request is returned
         // unsent and the next connection is tried.
         while let Some(active) = self.reuse(addr) {
-            match self.send(addr, active, req, deadline).await {
+            match self.send(addr, active, req, wait, deadline).await {
                 Err(SendError::Unsent(unsent)) => req = *unsent,
                 Err(SendError::Failed(e)) => return Err(e),
                 Ok(reply) => return Ok(reply),
             }
         }
         let active = self.open(addr, deadline).await?;
-        match self.send(addr, active, req, deadline).await {
+        match self.send(addr, active, req, wait, deadline).await {
             Err(SendError::Unsent(_)) => Err(CallError::Unsent),
             Err(SendError::Failed(e)) => Err(e),
             Ok(reply) => Ok(reply),
@@ -299,6 +326,7 @@
         addr: SocketAddr,
         mut active: Active,
         req: Request<Full<Bytes>>,
+        wait: BodyWait,
         deadline: tokio::time::Instant,
     ) -> Result<Reply, SendError> {
         let Some(sender) = active.sender.as_mut() else {
@@ -320,9 +348,12 @@
         };
         let (head, body) = res.into_parts();
         let remaining = deadline.saturating_duration_since(tokio::time::Instant::now());
-        let body = read_body(body, self.limits.reply_size, remaining)
-            .await
-            .map_err(|e| SendError::Failed(CallError::Body(e)))?;
+        let max = self.limits.reply_size;
+        let body = match wait {
+            BodyWait::Whole => read_body(body, max, remaining).await,
+            BodyWait::EachPart(gap) => read_parts(body, max, gap).await,
+        };
+        let body = body.map_err(|e| SendError::Failed(CallError::Body(e)))?;
         let size = FRAME_BYTES + header_bytes(&head.headers) + body.len();
         self.counters
             .received
@@ -364,6 +395,15 @@
 /// Timeout for a connection to become ready again after a response.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
+/// How long to wait for the body of a response.
+#[derive(Debug, Clone, Copy)]
+enum BodyWait {
+    /// Until the timeout of the whole call.
+    Whole,
+    /// This long for each part of the body.
+    EachPart(Duration),
+}
+
 /// Why a request on one connection got no response.
 enum SendError {
     /// The request was not written to the connection and is returned.
