Count a shard's vacancy from when it has no owner of any division

Cause: the time since which a shard has had no owner was kept while a shard that overlaps it had one, so a later loss was followed by a takeover without the delay by rank, by several VMs at once. Found by reading. Change: it is forgotten when an overlapping shard has an owner, or when the domain is divided otherwise.

--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -306,9 +306,14 @@
         // Room of VMs that are first candidates for shards before, so that one
         // VM does not take all of a domain's shards at once.
         let mut planned = HashMap::default();
+        self.vacant_since.retain(|shard, _| shards.contains(shard));
         for shard in shards {
             let yielded = self.yielded.get(shard).is_some_and(|y| now < y.until);
-            if self.is_owned(shard) || yielded {
+            if self.is_owned(shard) {
+                self.vacant_since.remove(shard);
+                continue;
+            }
+            if yielded {
                 continue;
             }
             let since = *self.vacant_since.entry(shard.clone()).or_insert(now);
--- a/components/ownership/tests/division.rs
+++ b/components/ownership/tests/division.rs
@@ -196,3 +196,24 @@
     assert!(room(500, 1_000, 200) < room(500, 1_000, 4_100));
     assert_eq!(room(1, 0, 0), 1);
 }
+
+#[test]
+fn vacant_anew() {
+    // The time for which a half had no owner does not count on after the whole
+    // has had one.
+    let mut all = [vm(1, 20), vm(2, 300)];
+    all[1].share = 500;
+    let mut me = peers(&all[0], &all, 24);
+    let mut other = peers(&all[1], &all, 24);
+    let halves = shard(0, 1).halves();
+    assert!(me.tick(&halves, at(600)).is_empty());
+    other.accept(&shard(0, 1));
+    for ms in (700..3_000).step_by(100) {
+        me.receive(heartbeat(&all[1], &other), at(ms));
+        assert!(me.tick(&halves, at(ms)).is_empty());
+    }
+    let idle = Peers::new(OwnershipConfig::default(), all[1].clone(), at(0));
+    me.receive(heartbeat(&all[1], &idle), at(3_000));
+    assert!(me.tick(&halves, at(3_000)).is_empty());
+    assert!(!me.tick(&halves, at(3_200)).is_empty());
+}
