Refuse reports of shards that can't exist and bound announced intervals

Cause: a shard's count now comes from other VMs' heartbeats. A malformed one with a count of 65,535 made each tick go through that many shards, 0 or a count that is no power of two broke the halves, and a huge interval kept a silent VM alive (and overflowed in debug builds). Found in reading, for the fault of operators of similar systems: one malformed message took a process down. Change: such reports are dropped, intervals are bounded by forget_after. Measured: garbled_report failed before and passes now.

--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -189,21 +189,23 @@
         }
         let from = heartbeat.from.addr;
         let leaving = heartbeat.from.leaving;
+        // Four and a half intervals are within `forget_after` then.
+        let interval = heartbeat.interval.min(Millis(self.cfg.forget_after.0 / 5));
         let peer = Peer {
             alive_since: self.alive_since(ip, &heartbeat.from, now),
             info: Some(heartbeat.from),
             last_heartbeat: now,
             version: heartbeat.version,
-            interval: heartbeat.interval,
+            interval,
         };
         self.peers.insert(ip, peer);
         // An owner that no longer reports a shard has given it up.
         let kept = |shard: &Shard| heartbeat.reports.iter().any(|r| r.shard == *shard);
         self.owners
             .retain(|shard, owner| owner.claim.addr != from || kept(shard));
-        let interval = heartbeat.interval;
         let reports = heartbeat.reports.into_iter();
         reports
+            .filter(|report| report.shard.is_valid())
             .flat_map(|report| self.receive_report(report, leaving, interval, now))
             .collect()
     }
--- a/components/ownership/src/plan.rs
+++ b/components/ownership/src/plan.rs
@@ -8,10 +8,7 @@
 
 use crate::heartbeat::VmInfo;
 use crate::peers::Peers;
-use crate::shard::Shard;
-
-/// Largest number of shards of a domain.
-const MAX_SHARDS: u16 = 64;
+use crate::shard::{MAX_SHARDS, Shard};
 
 /// Smallest number of minions of a shard. Below it a job of usual width finds no
 /// room in a shard that is not nearly idle.
--- a/components/ownership/src/shard.rs
+++ b/components/ownership/src/shard.rs
@@ -17,7 +17,16 @@
     pub count: u16,
 }
 
+/// Largest number of shards of a domain.
+pub(crate) const MAX_SHARDS: u16 = 64;
+
 impl Shard {
+    /// Returns whether a domain can have this shard. Shards in messages of other
+    /// VMs are checked, as each tick goes through all shards of a division.
+    pub fn is_valid(&self) -> bool {
+        self.count.is_power_of_two() && self.count <= MAX_SHARDS && self.index < self.count
+    }
+
     /// Returns whether the two shards have minions in common. As counts are
     /// powers of two, one of them is then a part of the other.
     pub fn overlaps(&self, other: &Shard) -> bool {
--- a/components/ownership/tests/division.rs
+++ b/components/ownership/tests/division.rs
@@ -217,3 +217,31 @@
     assert!(me.tick(&halves, at(3_000)).is_empty());
     assert!(!me.tick(&halves, at(3_200)).is_empty());
 }
+
+#[test]
+fn garbled_report() {
+    // A report of a shard that can't exist must not reach the division.
+    let all = [vm(1, 20), vm(2, 300)];
+    let other = peers(&all[1], &all, 24);
+    for (index, count) in [(0, 0), (2, 2), (0, 3), (9, 32_768), (0, u16::MAX)] {
+        let mut me = peers(&all[0], &all, 24);
+        let mut sent = heartbeat(&all[1], &other);
+        sent.interval = Millis(u64::MAX);
+        sent.reports.push(ownership::Report {
+            shard: shard(index, count),
+            claim: ownership::Claim {
+                home: true,
+                epoch: ownership::Epoch(9),
+                share: 100,
+                addr: all[1].addr,
+            },
+            load: schedule::Load::default(),
+        });
+        assert!(me.receive(sent, at(10)).is_empty(), "{index} of {count}");
+        assert_eq!(me.owners().count(), 0, "{index} of {count}");
+        me.tick(&[], at(20));
+        // Nor does an absurd interval keep a silent VM alive.
+        me.tick(&[], at(60_000));
+        assert_eq!(me.alive(at(60_000)).count(), 0);
+    }
+}
