--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -194,6 +194,7 @@
             meter.update(&core, now);
             pull_configuration(&core, now);
             pull_register(&core, now);
+            report_held(&core);
             if !stopping(&core) {
                 handover::hand_to_preferred(&core, now);
                 handover::divide_too_large(&core, now);
@@ -207,6 +208,14 @@
     }
 }
 
+/// Tells `ownership` how many minions of each owned shard this VM holds.
+fn report_held<M>(core: &Core<M>) {
+    for (shard, owned) in core.owned.load().iter() {
+        let held = owned.lock().scheduler.held_count();
+        core.peers().set_held(shard, held as u32);
+    }
+}
+
 /// Sets the gauges of owned shards, minions, free cores and live VMs.
 fn set_gauges<M>(core: &Core<M>, now: Timestamp) {
     let owned = core.owned.load();
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -106,6 +106,8 @@
     pub(crate) yielded: HashMap<Shard, Yielded>,
     /// Addresses that became known since they were last taken.
     pub(crate) fresh: Vec<Ipv4Addr>,
+    /// Number of minions that this VM holds in each of its shards.
+    pub(crate) held: HashMap<Shard, u32>,
     /// Number of minions in each domain, as far as this VM knows the register.
     pub(crate) minions: HashMap<Domain, u32>,
 }
@@ -126,6 +128,7 @@
             minion_losses: HashMap::default(),
             yielded: HashMap::default(),
             fresh: Vec::new(),
+            held: HashMap::default(),
             minions: HashMap::default(),
         }
     }
@@ -309,6 +312,7 @@
         // VM does not take all of a domain's shards at once.
         let mut planned = HashMap::default();
         self.vacant_since.retain(|shard, _| shards.contains(shard));
+        self.held.retain(|shard, _| self.claims.contains_key(shard));
         for shard in shards {
             let yielded = self.yielded.get(shard).is_some_and(|y| now < y.until);
             if self.is_owned(shard) {
--- a/components/ownership/src/plan.rs
+++ b/components/ownership/src/plan.rs
@@ -85,9 +85,17 @@
         self.carried(vm.addr) + planned + self.size(shard) <= vm.room
     }
 
-    /// Returns whether this VM owns more minions than it has room for.
+    /// Sets the number of minions of one of this VM's shards that it holds.
+    pub fn set_held(&mut self, shard: &Shard, minions: u32) {
+        self.held.insert(shard.clone(), minions);
+    }
+
+    /// Returns whether this VM holds more minions than it has room for. Minions
+    /// that it does not reach cost next to nothing.
     pub(crate) fn is_crowded(&self) -> bool {
-        self.carried(self.me.addr) > self.me.room
+        let held = |shard| self.held.get(shard).copied().unwrap_or(0);
+        let held: u32 = self.claims.keys().map(held).sum();
+        held > self.me.room
     }
 
     /// Returns the shard that this VM should divide: it owns more minions than
--- a/components/ownership/tests/division.rs
+++ b/components/ownership/tests/division.rs
@@ -77,6 +77,14 @@
     assert_eq!(division(&[10, 10], 24), 1);
 }
 
+/// Lets a VM hold all minions of its shards, which have equal sizes.
+fn hold_all(state: &mut Peers, minions: u32) {
+    let claims: Vec<_> = state.claims().map(|(s, _)| s.clone()).collect();
+    for shard in claims {
+        state.set_held(&shard, minions / u32::from(shard.count));
+    }
+}
+
 /// Lets all VMs decide on their own, with heartbeats that arrive at once, and
 /// returns what each owns after some seconds.
 fn settle(all: &[VmInfo], minions: u32) -> Vec<(VmInfo, Peers)> {
@@ -89,6 +97,7 @@
             let (me, state) = &mut fleet[i];
             let shards = state.shards(&me.domain, 1, at(ms));
             state.tick(&shards, at(ms));
+            hold_all(state, minions);
             if let Some(large) = state.too_large(at(ms)) {
                 state.divide(&large);
             }
@@ -245,3 +254,29 @@
         assert_eq!(me.alive(at(60_000)).count(), 0);
     }
 }
+
+#[test]
+fn unreachable_minions() {
+    // A VM of a domain that is cut off takes the shards of the others, whose
+    // minions it does not reach. It keeps its own shard, which it serves.
+    let mut all = [vm(1, 300), vm(2, 300)];
+    all[1].share = 90;
+    let away = Shard {
+        domain: "nadi-b".parse().unwrap(),
+        ..shard(0, 1)
+    };
+    let mut me = peers(&all[0], &all, 220);
+    let counts = [(all[0].domain.clone(), 220), (away.domain.clone(), 220)];
+    me.set_minions(counts.into_iter().collect());
+    me.accept(&shard(0, 1));
+    me.accept(&away);
+    me.set_held(&shard(0, 1), 220);
+    let idle = Peers::new(OwnershipConfig::default(), all[1].clone(), at(0));
+    for ms in [1_900, 3_800] {
+        me.receive(heartbeat(&all[1], &idle), at(ms));
+    }
+    assert_eq!(me.better_owner(&shard(0, 1), at(4_000)), None);
+    // If it holds them, it has too little room.
+    me.set_held(&away, 220);
+    assert_eq!(me.better_owner(&shard(0, 1), at(4_000)), Some(all[1].addr));
+}
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -10,7 +10,7 @@
 use crate::demand::Demand;
 use crate::ids::{JobId, TaskName};
 use crate::job::{Job, JobSpec, Outcome, Step, Summary, TaskState};
-use crate::minion::{Minion, MinionInfo};
+use crate::minion::{HoldState, Minion, MinionInfo};
 use crate::order::rank;
 use crate::resources::Resources;
 use crate::run::{Phase, Run};
@@ -136,6 +136,12 @@
         self.minions.len()
     }
 
+    /// Returns the number of minions that answer holds.
+    pub fn held_count(&self) -> usize {
+        let held = |m: &&Minion| m.hold_state == HoldState::Held;
+        self.minions.values().filter(held).count()
+    }
+
     /// Returns whether the scheduler has the job.
     pub fn knows(&self, id: &JobId) -> bool {
         self.jobs.contains_key(id)
