--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -19,6 +19,7 @@
 mod register;
 mod route;
 mod submit;
+mod timetable;
 mod traffic;
 
 pub use crate::backoff::Backoff;
