--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -112,7 +112,7 @@
     }
 }
 
-/// Tells `ownership` how many minions of each owned shard this VM holds.
+/// Updates the number of minions that this VM holds in each of its shards.
 fn report_held<M>(core: &Core<M>) {
     for (shard, owned) in core.owned.load().iter() {
         let held = owned.lock().scheduler.held_count();
@@ -134,8 +134,8 @@
     metrics.set(Gauge::PeersLive, core.peers().alive(now).count() as u64);
 }
 
-/// Returns all shards of the site; none while this VM knows no register, as it
-/// can't tell then how the minions are divided.
+/// Returns all shards of the site. Returns none while this VM has no register,
+/// from which the division of the minions follows.
 fn all_shards<M>(core: &Core<M>, now: Timestamp) -> Vec<Shard> {
     if core.register.load().is_none() {
         return Vec::new();
--- a/components/ownership/src/interval.rs
+++ b/components/ownership/src/interval.rs
@@ -18,7 +18,7 @@
 /// Bytes of packet headers of a datagram.
 const DATAGRAM_BYTES: u64 = 28;
 
-/// What the interval of a VM's heartbeats to all others depends on.
+/// Inputs to the interval of a VM's heartbeats to all others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Broadcast {
     /// Number of the other VMs.
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -436,11 +436,12 @@
             .cloned()
     }
 
-    /// Returns the VM that should own a shard of this VM instead. It has room
-    /// for the shard, and is a VM of the shard's domain if this one is in
-    /// another domain, or of at least twice this VM's size, or this VM owns more
-    /// than it has room for. Both VMs must have been alive for `settle_time`, as
-    /// each handover has a cost, or for `listen_time` in the last case.
+    /// Returns the VM that should own a shard of this VM instead: any VM of the
+    /// shard's domain if this one is in another domain. Otherwise it must have
+    /// room for the shard, and either have at least twice this VM's size or
+    /// relieve this VM, which holds more than it has room for. Both VMs must have
+    /// been alive for `settle_time`, as each handover has a cost, or for
+    /// `listen_time` if this VM holds too much.
     pub fn better_owner(&self, shard: &Shard, now: Timestamp) -> Option<SocketAddr> {
         let best = self.successor(shard, false, now)?;
         let IpAddr::V4(ip) = best.addr.ip() else {
