Log each step of a VM's start with its time

Each step from the settings to the first result writes one line, once, with the time since the start of the process (/proc, to 20 ms) and not since the start of the engine, because loading the program counts too on a small VM. The record is a bit set in one atomic; a step that has been reached costs one relaxed load on the path of a job.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -17,6 +17,7 @@
 use crate::drive;
 use crate::handover;
 use crate::owned::{Ending, Owned, TakePolicy};
+use crate::startup::Step;
 use crate::timetable::{Timetable, broadcast_interval};
 use crate::traffic::Meter;
 
@@ -57,6 +58,9 @@
         };
         let new = core.peers().is_new(&heartbeat.from);
         let from = heartbeat.from.addr;
+        if from != core.cfg.peer_addr {
+            core.startup.reach(Step::Heartbeat);
+        }
         let changes = core.peers().receive(heartbeat, core.now());
         apply_changes(&core, changes);
         if new && from != core.cfg.peer_addr {
@@ -203,6 +207,7 @@
             }
             Change::NewOwner(shard, addr) => {
                 log::info!(shard:% = shard, owner:% = addr; "shard has a new owner");
+                core.startup.reach(Step::Owner);
             }
             Change::OwnerLost(shard, addr) => {
                 log::warn!(shard:% = shard, owner:% = addr; "no heartbeat from the owner of a shard");
@@ -226,6 +231,7 @@
 /// Adds a shard to those that this VM owns.
 pub(crate) fn install<M>(core: &Core<M>, owned: &Arc<Owned>) {
     core.metrics.add(Count::ShardTaken, 1);
+    core.startup.reach(Step::Shard);
     core.owned.rcu(|all| {
         let mut all = HashMap::clone(all);
         all.insert(Shard::clone(&owned.shard()), owned.clone());
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -15,6 +15,7 @@
 use crate::config::EngineConfig;
 use crate::model::Configuration;
 use crate::owned::Owned;
+use crate::startup::Startup;
 
 /// The shared state of one VM.
 #[derive(Debug)]
@@ -41,6 +42,8 @@
     pub tokens: Mutex<Tokens>,
     /// Number of jobs that each other VM runs for this one.
     pub remote_jobs: Mutex<HashMap<SocketAddr, usize>>,
+    /// Steps of this VM's start.
+    pub startup: Startup,
     /// True once the planned stop of this VM has begun.
     pub stopping: AtomicBool,
 }
--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -18,6 +18,7 @@
 use crate::control::{HoldReply, Minions, StopReply};
 use crate::core::{Core, lock};
 use crate::owned::{Ending, Owned, State, TakePolicy};
+use crate::startup::Step;
 
 /// Pause after the second unanswered hold in a row; there is none after the
 /// first. It doubles up to `MAX_RETRY_PAUSE`.
@@ -151,7 +152,9 @@
 async fn start_run<M: Minions>(core: Arc<Core<M>>, owned: Arc<Owned>, order: StartOrder) {
     let reply = send_start(&core, &order).await;
     core.metrics.add(Count::TaskSent, 1);
-    if !matches!(reply, StartReply::Accepted(_)) {
+    if matches!(reply, StartReply::Accepted(_)) {
+        core.startup.reach(Step::Start);
+    } else {
         core.metrics.add(Count::StartUntaken, 1);
         log::warn!(task:% = order.task, run = order.run.0, minion:% = order.minion, reply:? = reply;
             "start order not accepted");
@@ -293,6 +296,18 @@
     }
 }
 
+/// Records the steps of this VM's start that depend on the minions it holds.
+fn record_held<M>(core: &Core<M>, owned: &Owned) {
+    if core.startup.has_reached(Step::MostMinions) {
+        return;
+    }
+    let (held, minions) = {
+        let scheduler = &owned.lock().scheduler;
+        (scheduler.held_count(), scheduler.minion_count())
+    };
+    core.startup.reach_held(held, minions);
+}
+
 /// Holds a minion until the scheduler has withdrawn it.
 async fn hold_minion<M: Minions>(core: Arc<Core<M>>, owned: Arc<Owned>, id: MinionId) {
     await_turn(&owned, &id).await;
@@ -324,6 +339,7 @@
                 }
                 if status == HoldResult::Taken {
                     log::info!(minion:% = id, fence = order.fence.0, tries = tries; "minion held");
+                    record_held(&core, &owned);
                 }
                 pause = Duration::ZERO;
                 tries = 0;
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -22,6 +22,7 @@
 use crate::drive;
 use crate::handover;
 use crate::model::Configuration;
+use crate::startup::{Startup, Step};
 use crate::submit::submit;
 
 /// Number of VMs of a domain, besides the first candidate, that follow the
@@ -111,6 +112,7 @@
             peers: Mutex::new(peers),
             tokens: Mutex::new(tokens),
             remote_jobs: Mutex::new(HashMap::default()),
+            startup: Startup::new(),
             stopping: AtomicBool::new(false),
             clock,
             cfg,
@@ -193,6 +195,11 @@
         self.core.metrics.clone()
     }
 
+    /// Returns the record of the steps of this VM's start.
+    pub fn startup(&self) -> &Startup {
+        &self.core.startup
+    }
+
     /// Hands this VM's shards over to other VMs and waits until callers have
     /// switched to them. The engine answers requests until the program ends.
     pub async fn leave(&self) {
@@ -221,6 +228,7 @@
         *counts.entry(minion.domain.clone()).or_insert(0) += 1;
     }
     core.peers().set_minions(counts);
+    core.startup.reach(Step::Register);
     for owned in core.owned.load().values() {
         drive::sync_register(core, owned);
     }
@@ -242,5 +250,6 @@
     if changed {
         core.metrics.set(Gauge::ConfigurationVersion, version);
         log::info!(version = version, queues = queues; "configuration in force");
+        core.startup.reach(Step::Configuration);
     }
 }
