--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -7,7 +7,7 @@
 
 use kernel::{HashMap, Timestamp};
 use metrics::{Count, Gauge};
-use ownership::{Change, Claim, Heartbeat, Report, Shard};
+use ownership::{Change, Claim, Heartbeat, Report, Shard, VmInfo};
 use rand::seq::IteratorRandom;
 use wire::{decode, encode};
 
@@ -17,6 +17,7 @@
 use crate::drive;
 use crate::handover;
 use crate::owned::{Ending, Owned, TakePolicy};
+use crate::startup::Step;
 use crate::timetable::{Timetable, broadcast_interval};
 use crate::traffic::Meter;
 
@@ -56,21 +57,26 @@
             }
         };
         let new = core.peers().is_new(&heartbeat.from);
-        let from = heartbeat.from.addr;
+        let from = heartbeat.from.clone();
+        if from.addr != core.cfg.peer_addr {
+            core.startup.reach(Step::Heartbeat);
+        }
         let changes = core.peers().receive(heartbeat, core.now());
         apply_changes(&core, changes);
-        if new && from != core.cfg.peer_addr {
-            answer_new(&core, from).await;
+        if new && from.addr != core.cfg.peer_addr {
+            answer_new(&core, &from).await;
         }
     }
 }
 
 /// Sends a heartbeat to a new VM at once, so that it need not wait for the next
-/// regular one.
-async fn answer_new<M>(core: &Core<M>, to: SocketAddr) {
-    if let IpAddr::V4(ip) = to.ip() {
+/// regular one. It also reports owners that this VM knows, so that a new VM learns
+/// from any running one that shards have owners.
+async fn answer_new<M>(core: &Core<M>, to: &VmInfo) {
+    if let IpAddr::V4(ip) = to.addr.ip() {
         let now = core.now();
-        let heartbeat = own_heartbeat(core, MAX_KNOWN, now);
+        let mut heartbeat = own_heartbeat(core, MAX_KNOWN, now);
+        heartbeat.reports.extend(core.peers().relayed_reports(to));
         send_to(core, &heartbeat, &[ip]).await;
     }
 }
@@ -203,6 +209,7 @@
             }
             Change::NewOwner(shard, addr) => {
                 log::info!(shard:% = shard, owner:% = addr; "shard has a new owner");
+                core.startup.reach(Step::Owner);
             }
             Change::OwnerLost(shard, addr) => {
                 log::warn!(shard:% = shard, owner:% = addr; "no heartbeat from the owner of a shard");
@@ -226,6 +233,7 @@
 /// Adds a shard to those that this VM owns.
 pub(crate) fn install<M>(core: &Core<M>, owned: &Arc<Owned>) {
     core.metrics.add(Count::ShardTaken, 1);
+    core.startup.reach(Step::Shard);
     core.owned.rcu(|all| {
         let mut all = HashMap::clone(all);
         all.insert(Shard::clone(&owned.shard()), owned.clone());
