Evacuation of a failure domain: state, exchange and enforcement

Cause: an operator can ask that nothing more is started on the minions of a failure domain (record evacuate/DOMAIN of keyed.op, docs/design/hard-load.md part 2). VMs read that topic and ignored the record.

Ruled out: a call to the store when a job is placed (the path of a job contains none), a heartbeat as permission to start (the fence stays the only one), and a handover of the domain's shards (runs in progress need their owner). A new variant of the owner's answer for refusals during an evacuation was left out: the VM that took the job knows the state itself or sees a load without minions.

VMs send the offset in heartbeats, read a later state from each other (POST /v1/evacuations), and a handover carries it. schedule refuses and places nothing in an evacuated shard and reports a load without minions; jobs that have not started are given back as not run, jobs with some tasks started are stopped and count as lost. submit skips evacuated domains, tries the next shard after a refusal that arrives by way of a handover, and does not count refusals of evacuated domains. Gauges domains.evacuated and evacuations.offset, log lines.

The literals of Heartbeat in ownership/tests got the new field.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -15,6 +15,7 @@
 use crate::control::Minions;
 use crate::core::Core;
 use crate::drive;
+use crate::evacuation;
 use crate::handover;
 use crate::owned::{Ending, Owned, TakePolicy};
 use crate::timetable::{Timetable, broadcast_interval};
@@ -95,8 +96,10 @@
         if now.since(last_periodic) >= core.cfg.ownership.idle_interval {
             last_periodic = now;
             set_gauges(&core, now);
+            evacuation::set_gauges(&core);
             meter.update(&core, now);
             pull_configuration(&core, now);
+            evacuation::pull(&core, now);
             pull_register(&core, now);
             report_held(&core);
             if !stopping(&core) {
@@ -150,6 +153,7 @@
 /// Cancels the jobs of an owned shard that nobody waits for any more, and lets
 /// its scheduler apply timeouts.
 fn tick_shard<M: Minions>(core: &Arc<Core<M>>, owned: &Arc<Owned>, now: Timestamp) {
+    evacuation::enforce(core, owned);
     let orphaned: Vec<_> = {
         let peers = core.peers();
         let state = owned.lock();
@@ -224,13 +228,14 @@
 }
 
 /// Adds a shard to those that this VM owns.
-pub(crate) fn install<M>(core: &Core<M>, owned: &Arc<Owned>) {
+pub(crate) fn install<M: Minions>(core: &Arc<Core<M>>, owned: &Arc<Owned>) {
     core.metrics.add(Count::ShardTaken, 1);
     core.owned.rcu(|all| {
         let mut all = HashMap::clone(all);
         all.insert(Shard::clone(&owned.shard()), owned.clone());
         all
     });
+    evacuation::enforce(core, owned);
 }
 
 /// Ends the ownership of a shard. Its jobs continue on `to`, the VM that took
@@ -278,6 +283,7 @@
         version: core.version(),
         reports: reports.collect(),
         known: peers.addrs().choose_multiple(&mut rand::rng(), known),
+        evacuations: core.evacuations.load().as_of(),
     }
 }
 
--- a/components/engine/src/calls.rs
+++ b/components/engine/src/calls.rs
@@ -1,4 +1,5 @@
-//! Calls between VMs: jobs, handovers, the configuration and the register.
+//! Calls between VMs: jobs, handovers, the configuration, the evacuations and the
+//! register.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 
 use crate::control::Minions;
 use crate::core::Core;
+use crate::evacuation::Evacuations;
 use crate::model::Configuration;
 use crate::{handover, here, owned};
 
@@ -28,6 +30,9 @@
 /// Path of calls that read the configuration.
 const CONFIGURATION: &str = "/v1/configuration";
 
+/// Path of calls that read the state of evacuations.
+const EVACUATIONS: &str = "/v1/evacuations";
+
 /// Path of calls that read the register of minions.
 const REGISTER: &str = "/v1/register";
 
@@ -84,6 +89,10 @@
     pub state: Transfer,
     /// The VM that took each job from its caller.
     pub origins: Vec<(JobId, SocketAddr)>,
+    /// The owner's state of evacuations, as the next owner may not have heard of
+    /// one yet.
+    #[serde(default)]
+    pub evacuations: Evacuations,
 }
 
 /// Error of a call to another VM.
@@ -196,6 +205,14 @@
     fetch_peer(core, to, CONFIGURATION, MESSAGE_TIMEOUT).await
 }
 
+/// Reads another VM's state of evacuations.
+pub(crate) async fn call_evacuations<M>(
+    core: &Core<M>,
+    to: SocketAddr,
+) -> Result<Evacuations, PeerError> {
+    fetch_peer(core, to, EVACUATIONS, MESSAGE_TIMEOUT).await
+}
+
 /// Reads another VM's register of minions.
 pub(crate) async fn call_register<M>(
     core: &Core<M>,
@@ -240,6 +257,7 @@
                 let held = self.0.configuration.load_full();
                 encoded(&held.as_deref().cloned())
             }
+            EVACUATIONS => encoded(&**self.0.evacuations.load()),
             REGISTER => {
                 let held = self.0.register.load_full();
                 encoded(&held.as_deref().cloned())
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -13,6 +13,7 @@
 use wire::{Client, TcpConnect};
 
 use crate::config::EngineConfig;
+use crate::evacuation::Evacuations;
 use crate::model::Configuration;
 use crate::owned::Owned;
 
@@ -31,6 +32,8 @@
     pub socket: UdpSocket,
     /// Configuration in force.
     pub configuration: ArcSwapOption<Configuration>,
+    /// Domains that are being evacuated.
+    pub evacuations: ArcSwap<Evacuations>,
     /// Register of minions; empty until it has been read.
     pub register: ArcSwapOption<Vec<MinionInfo>>,
     /// Shards that this VM owns.
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -20,6 +20,7 @@
 use crate::control::Minions;
 use crate::core::Core;
 use crate::drive;
+use crate::evacuation::{self, Evacuations};
 use crate::handover;
 use crate::model::Configuration;
 use crate::submit::submit;
@@ -106,6 +107,7 @@
             minions,
             socket,
             configuration: ArcSwapOption::empty(),
+            evacuations: ArcSwap::default(),
             register: ArcSwapOption::empty(),
             owned: ArcSwap::default(),
             peers: Mutex::new(peers),
@@ -131,6 +133,17 @@
         self.core.configuration.load_full()
     }
 
+    /// Puts a state of evacuations that was read from the store in force, unless
+    /// a later one is in force.
+    pub fn evacuate(&self, evacuations: &Evacuations) {
+        evacuation::adopt(&self.core, evacuations, "store");
+    }
+
+    /// Returns the state of evacuations in force.
+    pub fn evacuations(&self) -> Arc<Evacuations> {
+        self.core.evacuations.load_full()
+    }
+
     /// Replaces the register of minions.
     pub fn register(&self, minions: Vec<MinionInfo>) {
         self.core.register.store(Some(Arc::new(minions)));
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -13,6 +13,7 @@
 use crate::control::Minions;
 use crate::core::{Core, lock};
 use crate::drive;
+use crate::evacuation::{self, Evacuations};
 use crate::owned::{Owned, TakePolicy, Waiter};
 
 /// Pause before a shard that no VM could take is offered again.
@@ -61,6 +62,7 @@
         from: core.cfg.peer_addr,
         state,
         origins,
+        evacuations: Evacuations::clone(&core.evacuations.load()),
     };
     let jobs = handover.state.jobs.len();
     match call_handover(core, to, &handover).await {
@@ -150,6 +152,7 @@
         all.insert(fresh.clone(), second.clone());
         all
     });
+    evacuation::enforce(core, &second);
     drive::sync_register(core, &first);
     drive::sync_register(core, &second);
     let core = core.clone();
@@ -163,7 +166,9 @@
         from,
         state,
         origins,
+        evacuations,
     } = handover;
+    evacuation::adopt(core, &evacuations, &from.to_string());
     if core.owned_part(&shard).is_some() {
         log::warn!(shard:% = shard, from:% = from; "handover ignored: shard already owned");
         return;
--- a/components/engine/src/here.rs
+++ b/components/engine/src/here.rs
@@ -66,10 +66,12 @@
         match state.scheduler.submit(now, spec) {
             Admission::Refused { retry } => {
                 let load = state.scheduler.load(now);
+                let evacuated = state.scheduler.is_evacuated();
                 drop(state);
                 drive::run_actions(core, owned);
                 log::info!(job:% = id, shard:% = owned.shard(), retry_ms = retry.0, free = load.free,
-                    waiting = load.waiting, cores = load.cores; "job refused: no free capacity in time");
+                    waiting = load.waiting, cores = load.cores, evacuated = evacuated;
+                    "job refused: no free capacity in time");
                 return JobReply::Ended(Outcome::Refused { retry });
             }
             Admission::Taken => {}
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -133,19 +133,26 @@
     };
     let mut tried: Vec<Shard> = Vec::new();
     await_owner(core, &spec, start).await;
-    while tried.len() < MAX_SHARDS {
+    let mut refusals = 0;
+    while refusals < MAX_SHARDS {
         let left = remaining(&spec, start, core.now());
         let Some(shard) = next_shard(core, &left, &tried) else {
             break;
         };
         tried.push(shard.clone());
-        match run_at_owner(core, &shard, left).await {
-            Ok(Ending::Ended(Outcome::Refused { retry })) => {
-                refused = Outcome::Refused { retry };
-            }
-            Ok(Ending::Ended(outcome)) => return outcome,
-            Ok(Ending::Moved(to)) => return resume(core, &shard, &spec, to, start).await,
-            Err(NotStarted) => {}
+        let outcome = match run_at_owner(core, &shard, left).await {
+            Ok(Ending::Ended(outcome)) => Some(outcome),
+            Ok(Ending::Moved(to)) => Some(resume(core, &shard, &spec, to, start).await),
+            Err(NotStarted) => None,
+        };
+        match outcome {
+            Some(Outcome::Refused { retry }) => refused = Outcome::Refused { retry },
+            Some(outcome) => return outcome,
+            None => {}
+        }
+        // A shard of an evacuated domain has refused whatever its load.
+        if !core.evacuations.load().contains(&shard.domain) {
+            refusals += 1;
         }
     }
     refused
@@ -171,7 +178,8 @@
             load: owner.load,
         }));
     }
-    all.retain(|c| !tried.contains(&c.shard));
+    let evacuations = core.evacuations.load();
+    all.retain(|c| !tried.contains(&c.shard) && !evacuations.contains(&c.shard.domain));
     let domain = &core.cfg.domain;
     route::choose(spec, domain, all, &mut rand::rng()).map(|c| c.shard)
 }
--- a/components/metrics/src/name.rs
+++ b/components/metrics/src/name.rs
@@ -98,6 +98,8 @@
         MinionsHeld, "minions.held", "Minions of this VM's shards that may get work.";
         CoresFree, "cores.free", "Free cores of the minions that may get work.";
         ConfigurationVersion, "configuration.version", "The version of the configuration in force.";
+        DomainsEvacuated, "domains.evacuated", "Failure domains that are being evacuated, as far as this VM knows.";
+        EvacuationOffset, "evacuations.offset", "The offset of the operator's topic up to which this VM knows the evacuations.";
         KeptBytes, "jobs.kept_bytes", "Bytes of answers kept for resubmissions.";
         HeartbeatAge, "peers.heartbeat_age", "Milliseconds since the oldest report of a known owner.";
         TeamsAtQuota, "teams.at_quota", "Teams whose jobs hold all slots of their quota.";
--- a/components/ownership/src/heartbeat.rs
+++ b/components/ownership/src/heartbeat.rs
@@ -3,7 +3,7 @@
 use std::cmp::Ordering;
 use std::net::{Ipv4Addr, SocketAddr};
 
-use kernel::{Domain, Epoch, Incarnation, Millis};
+use kernel::{Domain, Epoch, Incarnation, Millis, Offset};
 use schedule::Load;
 use serde::{Deserialize, Serialize};
 
@@ -77,4 +77,7 @@
     pub reports: Vec<Report>,
     /// Addresses of some VMs that the sender knows.
     pub known: Vec<Ipv4Addr>,
+    /// Offset of the sender's state of evacuations; 0 if it knows none.
+    #[serde(default)]
+    pub evacuations: Offset,
 }
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -4,7 +4,7 @@
 use std::collections::hash_map::Entry;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use kernel::{Domain, Epoch, HashMap, HashSet, Millis, Timestamp};
+use kernel::{Domain, Epoch, HashMap, HashSet, Millis, Offset, Timestamp};
 use schedule::Load;
 
 use crate::config::OwnershipConfig;
@@ -25,6 +25,8 @@
     pub(crate) alive_since: Timestamp,
     /// Version of the VM's configuration.
     pub(crate) version: u64,
+    /// Offset of the VM's state of evacuations.
+    pub(crate) evacuations: Offset,
     /// Longest time until the VM's next heartbeat, as it has announced.
     pub(crate) interval: Millis,
 }
@@ -149,6 +151,7 @@
                 last_heartbeat: now,
                 alive_since: now,
                 version: 0,
+                evacuations: Offset(0),
                 interval: self.cfg.idle_interval,
             });
             self.fresh.push(addr);
@@ -199,6 +202,7 @@
             info: Some(heartbeat.from),
             last_heartbeat: now,
             version: heartbeat.version,
+            evacuations: heartbeat.evacuations,
             interval,
         };
         self.peers.insert(ip, peer);
@@ -535,6 +539,17 @@
         newest.info.as_ref().map(|i| i.addr)
     }
 
+    /// Returns the live VMs whose state of evacuations is later than `as_of`.
+    pub fn later_evacuations(
+        &self,
+        as_of: Offset,
+        now: Timestamp,
+    ) -> impl Iterator<Item = SocketAddr> {
+        let alive = self.peers.values();
+        let alive = alive.filter(move |p| p.evacuations > as_of && p.is_alive(&self.cfg, now));
+        alive.filter_map(|p| p.info.as_ref().map(|i| i.addr))
+    }
+
     /// Returns a shard's owner if that is another VM.
     pub fn owner(&self, shard: &Shard) -> Option<&Owner> {
         self.owners.get(shard)
--- a/components/ownership/tests/division.rs
+++ b/components/ownership/tests/division.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use kernel::{BitRate, Incarnation, MilliCores, Millis, Timestamp};
+use kernel::{BitRate, Incarnation, MilliCores, Millis, Offset, Timestamp};
 use ownership::{Change, Heartbeat, OwnershipConfig, Peers, Room, Shard, VmInfo, shard_of};
 
 fn at(ms: u64) -> Timestamp {
@@ -58,6 +58,7 @@
         version: 1,
         reports: reports.collect(),
         known: Vec::new(),
+        evacuations: Offset(0),
     }
 }
 
--- a/components/ownership/tests/intervals.rs
+++ b/components/ownership/tests/intervals.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use kernel::{BitRate, Epoch, Incarnation, Millis, Timestamp};
+use kernel::{BitRate, Epoch, Incarnation, Millis, Offset, Timestamp};
 use ownership::{
     Broadcast, Change, Claim, Heartbeat, OwnershipConfig, Peers, Report, Shard, VmInfo,
 };
@@ -84,6 +84,7 @@
             load: Load::default(),
         }],
         known: Vec::new(),
+        evacuations: Offset(0),
     };
     peers.receive(heartbeat, at(0));
     let lost = Change::OwnerLost(shard, owner.addr);
@@ -109,6 +110,7 @@
         version: 1,
         reports: Vec::new(),
         known: vec![[10, 0, 0, 2].into()],
+        evacuations: Offset(0),
     };
     peers.receive(heard, at(1));
     // The VM that was heard needs no greeting, a known one no second.
--- a/components/ownership/tests/takeover.rs
+++ b/components/ownership/tests/takeover.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use kernel::{Incarnation, Timestamp};
+use kernel::{Incarnation, Offset, Timestamp};
 use ownership::{Change, Claim, Epoch, Heartbeat, OwnershipConfig, Peers, Report, Shard, VmInfo};
 use schedule::Load;
 
@@ -47,6 +47,7 @@
         version: 1,
         reports: claim.map(report).into_iter().collect(),
         known: Vec::new(),
+        evacuations: Offset(0),
     }
 }
 
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -8,6 +8,7 @@
 use crate::admission::{Admission, Backlog, UNSERVABLE_RETRY, decide};
 use crate::config::ScheduleConfig;
 use crate::demand::Demand;
+use crate::evacuation::EVACUATED_RETRY;
 use crate::ids::{JobId, TaskName};
 use crate::job::{Job, JobSpec, Outcome, Step, Summary, TaskState};
 use crate::minion::{HoldState, Minion, MinionInfo};
@@ -58,6 +59,8 @@
     /// True while the shard is being handed over: events are ignored and
     /// nothing is started.
     pub(crate) frozen: bool,
+    /// True while the shard's domain is being evacuated: nothing is started.
+    pub(crate) evacuated: bool,
 }
 
 impl Scheduler {
@@ -74,6 +77,7 @@
             demand: Demand::default(),
             actions: Vec::new(),
             frozen: false,
+            evacuated: false,
         }
     }
 
@@ -154,6 +158,9 @@
 
     /// Returns the load of the shard.
     pub fn load(&self, now: Timestamp) -> Load {
+        if self.evacuated {
+            return self.evacuated_load();
+        }
         let mut load = Load::default();
         for minion in self.minions.values().filter(|m| m.accepts_work(now)) {
             load.minions += 1;
@@ -175,6 +182,11 @@
                 retry: UNSERVABLE_RETRY,
             };
         }
+        if self.evacuated {
+            return Admission::Refused {
+                retry: EVACUATED_RETRY,
+            };
+        }
         let expected = self.expected_time(&spec);
         let last = self
             .ended_jobs
--- a/components/schedule/src/start.rs
+++ b/components/schedule/src/start.rs
@@ -23,6 +23,10 @@
         if self.queue.is_empty() || self.frozen {
             return;
         }
+        if self.evacuated {
+            self.give_back(now);
+            return;
+        }
         let jobs = &self.jobs;
         self.queue
             .sort_by_cached_key(|id| jobs.get(id).map(|j| rank(j, now)));
