--- a/components/entry/src/gauges.rs
+++ b/components/entry/src/gauges.rs
@@ -60,7 +60,9 @@
         | Gauge::MinionsHeld
         | Gauge::CoresFree
         | Gauge::ConfigurationVersion
-        | Gauge::HeartbeatAge => 0,
+        | Gauge::HeartbeatAge
+        | Gauge::DomainsEvacuated
+        | Gauge::EvacuationOffset => 0,
     };
     value as u64
 }
