--- a/components/engine/tests/common/mod.rs
+++ b/components/engine/tests/common/mod.rs
@@ -27,6 +27,19 @@
         Site(LeasedFleet::new(infos))
     }
 
+    /// Creates a site of these minions, which may be in several domains.
+    pub fn of(infos: impl IntoIterator<Item = MinionInfo>) -> Site {
+        Site(LeasedFleet::new(infos))
+    }
+
+    /// Returns the number of starts on minions whose names begin with `prefix`.
+    pub fn starts_on(&self, prefix: &str) -> usize {
+        let starts = self.0.starts().into_iter();
+        starts
+            .filter(|s| s.minion.as_str().starts_with(prefix))
+            .count()
+    }
+
     pub fn infos(&self) -> Vec<MinionInfo> {
         self.0.infos()
     }
