Loads beyond the capacity in the model of one domain

The generator knew one load and minions of one speed. It now takes a load for each domain that callers come through, and can give the minions the speeds of the site's three kinds (0.8, 1.0, 1.25).

--- a/components/schedule/tests/common/load.rs
+++ b/components/schedule/tests/common/load.rs
@@ -18,6 +18,14 @@
 /// Number of tasks of 14 cores that fit on the domain's minions.
 const SLOTS: f64 = 37.0;
 
+/// The usual load of the sites as a fraction of the slots: at 2.6 times the usual
+/// rates just over all slots are needed (docs/design/hard-load.md).
+pub const USUAL: f64 = 0.4;
+
+/// Run time on a minion relative to the mean, by kind of minion. The site of
+/// 350 minions has kinds of speed 0.8, 1.0 and 1.25.
+pub const SLOWNESS: [f64; 3] = [1.25, 1.0, 0.8];
+
 /// A kind of job: sizes, run time and share of the load.
 #[derive(Debug, Clone, Copy)]
 pub struct JobKind {
@@ -63,6 +71,11 @@
 pub struct Submitted {
     pub spec: JobSpec,
     pub at: u64,
+    /// Index of the domain that the caller came through.
+    pub origin: usize,
+    /// Processor time of all tasks on a minion of average speed, in core
+    /// milliseconds.
+    pub work: f64,
     /// Time and outcome of the end, once the job has ended.
     pub end: Option<(u64, Outcome)>,
 }
@@ -77,6 +90,10 @@
         matches!(self.end, Some((at, Outcome::Completed)) if at <= due)
     }
 
+    pub fn late(&self) -> bool {
+        self.served() && !self.in_time()
+    }
+
     pub fn refused(&self) -> bool {
         matches!(self.end, Some((_, Outcome::Refused { .. })))
     }
@@ -89,12 +106,18 @@
     indices: BTreeMap<JobId, usize>,
     collected: usize,
     rng: StdRng,
-    /// The load; 1 fills all slots.
-    factor: f64,
+    /// Load by domain that callers come through; a sum of 1 fills all slots.
+    pub factors: Vec<f64>,
 }
 
 impl LoadGenerator {
     pub fn new(seed: u64, factor: f64) -> LoadGenerator {
+        LoadGenerator::with_origins(seed, vec![factor])
+    }
+
+    /// Creates a generator with the load of each domain that callers come
+    /// through.
+    pub fn with_origins(seed: u64, factors: Vec<f64>) -> LoadGenerator {
         let mut sim = Simulation::new(seed, 1, &MINION_CORES);
         sim.run(50);
         LoadGenerator {
@@ -103,7 +126,15 @@
             indices: BTreeMap::new(),
             collected: 0,
             rng: StdRng::seed_from_u64(seed),
-            factor,
+            factors,
+        }
+    }
+
+    /// Gives the minions the speeds of the site's three kinds.
+    pub fn mix_speeds(&mut self) {
+        let speeds = SLOWNESS.iter().cycle();
+        for (minion, slowness) in self.sim.minions.values_mut().zip(speeds) {
+            minion.slowness = *slowness;
         }
     }
 
@@ -131,19 +162,19 @@
     }
 
     /// Submits a random job of a kind.
-    pub fn submit_kind(&mut self, kind: &JobKind) {
+    pub fn submit_kind(&mut self, kind: &JobKind, origin: usize) {
         let (spec, run_ms) = self.draw_job(kind);
-        self.submit(spec, run_ms);
+        self.submit(spec, run_ms, origin);
     }
 
     /// Submits a random job of a kind whose caller waits for only a second.
     pub fn submit_with_short_timeout(&mut self, kind: &JobKind) {
         let (mut spec, run_ms) = self.draw_job(kind);
         spec.timeout = Millis(1_000);
-        self.submit(spec, run_ms);
+        self.submit(spec, run_ms, 0);
     }
 
-    fn submit(&mut self, spec: JobSpec, run_ms: u64) {
+    fn submit(&mut self, spec: JobSpec, run_ms: u64, origin: usize) {
         let at = self.sim.now;
         self.indices.insert(spec.id.clone(), self.submitted.len());
         let admission = self.sim.submit(0, spec.clone(), run_ms);
@@ -151,7 +182,15 @@
             Admission::Taken => None,
             Admission::Refused { retry } => Some((at, Outcome::Refused { retry })),
         };
-        self.submitted.push(Submitted { spec, at, end });
+        let cores = f64::from(spec.steps[0].need.cpu.0) / 1_000.0;
+        let work = f64::from(spec.steps[0].count) * cores * run_ms as f64;
+        self.submitted.push(Submitted {
+            spec,
+            at,
+            origin,
+            work,
+            end,
+        });
     }
 
     /// Submits jobs at random times for so many milliseconds.
@@ -162,10 +201,12 @@
             .sum();
         let rate = SLOTS / work / 1_000.0;
         for _ in 0..millis {
-            for kind in &KINDS {
-                let chance = rate * kind.share * self.factor;
-                if self.rng.random::<f64>() < chance {
-                    self.submit_kind(kind);
+            for origin in 0..self.factors.len() {
+                for kind in &KINDS {
+                    let chance = rate * kind.share * self.factors[origin];
+                    if self.rng.random::<f64>() < chance {
+                        self.submit_kind(kind, origin);
+                    }
                 }
             }
             self.sim.step();
