Offer a refused job to shards with room

Cause: a refused job was sent to one other shard, the one that should start it first by reports up to some hundred milliseconds old. VMs with the same reports chose the same shard, a burst of one VM filled a shard that its report showed as free, and an owner's refusal said nothing of its load. Jobs were refused with minions free elsewhere.

Change: the choice moves to `ownership/src/route.rs`, where it is tested without a network. A refused job is offered to at most two more shards, drawn by free cores and the age of the report, none when the time left is shorter than the critical path. What this VM has sent since a report counts against it. A refusal carries the load, which replaces the report; a load that is not finite or is negative is ignored. The caller gets the shortest retry time of the refusals.

The first choice is as before but for the jobs sent since the report. The second offer may still go to a shard with a short queue, as today; a third one only to one with free cores. Offering to all shards with room was not built, as it costs every owner a decision for each refused job.

--- a/components/engine/src/calls.rs
+++ b/components/engine/src/calls.rs
@@ -8,8 +8,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use kernel::Millis;
 use ownership::Shard;
-use schedule::{JobId, JobSpec, MinionInfo, Outcome, Transfer};
+use schedule::{JobId, JobSpec, Load, MinionInfo, Outcome, Transfer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wire::{CallError, CodecError, Handler, Reply, decode, encode, read_body};
@@ -71,6 +72,13 @@
     Moved(SocketAddr),
     /// The shard has another owner. The job was not run.
     NotOwner,
+    /// The job was not admitted.
+    Refused {
+        /// Time until capacity is expected to be free.
+        retry: Millis,
+        /// Present load of the shard, for the choice of the next offer.
+        load: Load,
+    },
 }
 
 /// The state of a shard that is handed over to its next owner.
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -7,7 +7,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kernel::{BootClock, Clock, HashMap, Millis, Timestamp};
 use metrics::Metrics;
-use ownership::{Peers, Shard, Tokens};
+use ownership::{Peers, SentWork, Shard, Tokens};
 use schedule::MinionInfo;
 use tokio::net::UdpSocket;
 use wire::{Client, TcpConnect};
@@ -41,6 +41,8 @@
     pub tokens: Mutex<Tokens>,
     /// Number of jobs that each other VM runs for this one.
     pub remote_jobs: Mutex<HashMap<SocketAddr, usize>>,
+    /// Jobs sent to shards of other VMs since their last reports.
+    pub sent_work: Mutex<SentWork>,
     /// True once the planned stop of this VM has begun.
     pub stopping: AtomicBool,
 }
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -111,6 +111,7 @@
             peers: Mutex::new(peers),
             tokens: Mutex::new(tokens),
             remote_jobs: Mutex::new(HashMap::default()),
+            sent_work: Mutex::default(),
             stopping: AtomicBool::new(false),
             clock,
             cfg,
--- a/components/engine/src/here.rs
+++ b/components/engine/src/here.rs
@@ -70,7 +70,7 @@
                 drive::run_actions(core, owned);
                 log::info!(job:% = id, shard:% = owned.shard(), retry_ms = retry.0, free = load.free,
                     waiting = load.waiting, cores = load.cores; "job refused: no free capacity in time");
-                return JobReply::Ended(Outcome::Refused { retry });
+                return JobReply::Refused { retry, load };
             }
             Admission::Taken => {}
         }
--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -17,7 +17,6 @@
 mod owned;
 mod pages;
 mod register;
-mod route;
 mod submit;
 mod timetable;
 mod traffic;
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -7,19 +7,14 @@
 
 use kernel::{Millis, Timestamp};
 use metrics::{Count, Timing};
-use ownership::Shard;
-use schedule::{JobSpec, Outcome};
+use ownership::{Candidate, MAX_OFFERS, Shard, choose, choose_next};
+use schedule::{JobSpec, Load, Outcome};
 
 use crate::calls::{JobAction, JobCall, JobReply, call_job};
 use crate::control::Minions;
 use crate::core::{Core, lock};
 use crate::here::{resume_local, run_local};
 use crate::owned::Ending;
-use crate::route::{self, Candidate};
-
-/// Maximum number of shards that are asked to run a job. If the first refuses,
-/// the others mostly do too, and each further request costs the caller time.
-const MAX_SHARDS: usize = 2;
 
 /// Time added to a job's remaining timeout when its owner is waited for, as
 /// the owner ends the job at its deadline.
@@ -66,6 +61,33 @@
     }
 }
 
+/// Counts a job against the free cores in the report of the shard that it was
+/// sent to, until it ends or a later report arrives.
+struct SentGuard<'a, M> {
+    core: &'a Core<M>,
+    shard: &'a Shard,
+    reported: Timestamp,
+    cores: f64,
+}
+
+impl<'a, M> SentGuard<'a, M> {
+    fn new(core: &'a Core<M>, shard: &'a Shard, reported: Timestamp, spec: &JobSpec) -> Self {
+        let cores = lock(&core.sent_work).add(shard, reported, spec);
+        SentGuard {
+            core,
+            shard,
+            reported,
+            cores,
+        }
+    }
+}
+
+impl<M> Drop for SentGuard<'_, M> {
+    fn drop(&mut self) {
+        lock(&self.core.sent_work).remove(self.shard, self.reported, self.cores);
+    }
+}
+
 /// Time between the loss of a job's owner and the next run of the job. By then
 /// the owner has cancelled the jobs of VMs whose heartbeats have stopped, or
 /// the leases of the runs that it started have expired.
@@ -118,7 +140,7 @@
     loop {
         let now = core.now();
         let starting = core.peers().starting(now);
-        if !starting || now >= latest || next_shard(core, spec, &[]).is_some() {
+        if !starting || now >= latest || next_shard(core, spec, &[], false).is_some() {
             return;
         }
         tokio::time::sleep(OWNER_POLL.duration()).await;
@@ -128,52 +150,82 @@
 /// Runs a job once, on the first shard that does not refuse it.
 async fn run_once<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Outcome {
     let start = core.now();
-    let mut refused = Outcome::Refused {
-        retry: NO_OWNER_RETRY,
-    };
+    // Shortest retry time of the owners that have refused the job.
+    let mut retry: Option<Millis> = None;
     let mut tried: Vec<Shard> = Vec::new();
     await_owner(core, &spec, start).await;
-    while tried.len() < MAX_SHARDS {
+    while tried.len() < MAX_OFFERS {
         let left = remaining(&spec, start, core.now());
-        let Some(shard) = next_shard(core, &left, &tried) else {
+        let Some(next) = next_shard(core, &left, &tried, retry.is_some()) else {
             break;
         };
+        if retry.is_some() {
+            core.metrics.add(Count::JobOffered, 1);
+            log::info!(job:% = spec.id, shard:% = next.shard, offer = tried.len() + 1,
+                free = next.load.free, cores = next.load.cores, age_ms = next.age.0,
+                left_ms = left.timeout.0; "refused job offered to another shard");
+        }
+        let shard = next.shard;
         tried.push(shard.clone());
         match run_at_owner(core, &shard, left).await {
-            Ok(Ending::Ended(Outcome::Refused { retry })) => {
-                refused = Outcome::Refused { retry };
+            Ok(Ending::Ended(Outcome::Refused { retry: next })) => {
+                retry = Some(retry.map_or(next, |earlier| earlier.min(next)));
             }
             Ok(Ending::Ended(outcome)) => return outcome,
             Ok(Ending::Moved(to)) => return resume(core, &shard, &spec, to, start).await,
             Err(NotStarted) => {}
         }
     }
-    refused
+    Outcome::Refused {
+        retry: retry.unwrap_or(NO_OWNER_RETRY),
+    }
 }
 
 /// Error of a job that was not started, because the VM that was asked could not
 /// be reached or does not own the shard.
 struct NotStarted;
 
-/// Returns the best shard for a job that has not been tried yet.
-fn next_shard<M>(core: &Core<M>, spec: &JobSpec, tried: &[Shard]) -> Option<Shard> {
+/// Returns the best shard for a job that has not been tried yet. `refused` is true
+/// once an owner has refused it.
+fn next_shard<M>(
+    core: &Core<M>,
+    spec: &JobSpec,
+    tried: &[Shard],
+    refused: bool,
+) -> Option<Candidate> {
     let now = core.now();
     let owned = core.owned.load();
     let mine = owned.values().map(|o| Candidate {
         shard: Shard::clone(&o.shard()),
         load: o.lock().scheduler.load(now),
+        age: Millis(0),
     });
     let mut all: Vec<_> = mine.collect();
     {
         let peers = core.peers();
+        let sent = lock(&core.sent_work);
         all.extend(peers.owners().map(|(shard, owner)| Candidate {
             shard: shard.clone(),
-            load: owner.load,
+            load: sent.adjust(shard, owner.loaded, owner.load),
+            age: now.since(owner.loaded),
         }));
     }
     all.retain(|c| !tried.contains(&c.shard));
     let domain = &core.cfg.domain;
-    route::choose(spec, domain, all, &mut rand::rng()).map(|c| c.shard)
+    let rng = &mut rand::rng();
+    match refused {
+        false => choose(spec, domain, all, rng),
+        true => choose_next(spec, domain, all, tried.len(), rng),
+    }
+}
+
+/// Takes over the load that came with an owner's refusal.
+fn update_load<M>(core: &Core<M>, shard: &Shard, from: SocketAddr, load: Load) {
+    if load.is_valid() {
+        core.peers().update_load(shard, from, load, core.now());
+    } else {
+        log::warn!(shard:% = shard, owner:% = from; "load in a refusal ignored: not a valid figure");
+    }
 }
 
 /// Returns the job with the time that is left of its objective and timeout.
@@ -197,11 +249,14 @@
             JobReply::Ended(outcome) => Ok(Ending::Ended(outcome)),
             JobReply::Moved(to) => Ok(Ending::Moved(to)),
             JobReply::NotOwner => Err(NotStarted),
+            JobReply::Refused { retry, .. } => Ok(Ending::Ended(Outcome::Refused { retry })),
         };
     }
-    let Some(to) = core.peers().owner(shard).map(|o| o.claim.addr) else {
+    let owner = core.peers().owner(shard).map(|o| (o.claim.addr, o.loaded));
+    let Some((to, reported)) = owner else {
         return Err(NotStarted);
     };
+    let _sent = SentGuard::new(core, shard, reported, &spec);
     let wait = Millis(spec.timeout.0 + OWNER_SLACK.0).duration();
     call_owner(core, shard, to, JobAction::Run(spec), wait).await
 }
@@ -240,13 +295,17 @@
             }
         }
     };
-    if matches!(reply, Ok(JobReply::Ended(_))) {
+    if matches!(reply, Ok(JobReply::Ended(_) | JobReply::Refused { .. })) {
         core.peers().refresh(to, core.now());
     }
     match reply {
         Ok(JobReply::Ended(outcome)) => Ok(Ending::Ended(outcome)),
         Ok(JobReply::Moved(to)) => Ok(Ending::Moved(to)),
         Ok(JobReply::NotOwner) => Err(NotStarted),
+        Ok(JobReply::Refused { retry, load }) => {
+            update_load(core, shard, to, load);
+            Ok(Ending::Ended(Outcome::Refused { retry }))
+        }
         Err(e) if e.maybe_done() => {
             log::warn!(job:% = id, owner:% = to, error:% = e; "job lost: no answer from the owner");
             Ok(Ending::Ended(Outcome::Lost))
@@ -289,6 +348,8 @@
             JobReply::Ended(outcome) => return outcome,
             JobReply::Moved(next) => to = next,
             JobReply::NotOwner => return Outcome::Lost,
+            // Not an answer to the question for a job that was taken.
+            JobReply::Refused { .. } => return Outcome::Lost,
         }
     }
 }
--- a/components/metrics/src/name.rs
+++ b/components/metrics/src/name.rs
@@ -65,6 +65,7 @@
         JobExpired, "jobs.expired", "Jobs that ran and did not end before their deadline.";
         JobFailed, "jobs.failed", "Jobs that failed because a task used up its attempts.";
         JobRepeated, "jobs.repeated", "Jobs run again because their owner was lost.";
+        JobOffered, "jobs.offered", "Offers of a refused job to another shard with room for it.";
         StartUntaken, "starts.untaken", "Starts that a minion did not accept.";
         RunStopped, "runs.stopped", "Stops sent for runs.";
         HoldMissed, "holds.missed", "Holds that a minion did not answer.";
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod plan;
 mod room;
+mod route;
 mod shard;
 mod token;
 
@@ -21,5 +22,6 @@
 pub use kernel::Epoch;
 pub use peers::{Change, Owner, Peers};
 pub use room::Room;
+pub use route::{Candidate, MAX_OFFERS, SentWork, choose, choose_next};
 pub use shard::{Shard, shard_of};
 pub use token::Tokens;
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -45,6 +45,8 @@
     pub claim: Claim,
     /// Load of the shard in the owner's last report.
     pub load: Load,
+    /// Time at which that load arrived.
+    pub loaded: Timestamp,
     /// Time at which the last report arrived.
     pub last_report: Timestamp,
     /// Longest time until the next report, as the owner has announced.
@@ -253,6 +255,7 @@
         let owner = Owner {
             claim,
             load,
+            loaded: now,
             last_report: now,
             interval,
         };
@@ -414,6 +417,7 @@
             let owner = Owner {
                 claim,
                 load: Load::default(),
+                loaded: now,
                 last_report: now,
                 interval: self.cfg.heartbeat_interval,
             };
@@ -521,6 +525,16 @@
         }
     }
 
+    /// Replaces the load in a shard's last report by the one that its owner has
+    /// sent with the refusal of a job.
+    pub fn update_load(&mut self, shard: &Shard, addr: SocketAddr, load: Load, now: Timestamp) {
+        let owner = self.owners.get_mut(shard);
+        if let Some(owner) = owner.filter(|o| o.claim.addr == addr) {
+            owner.load = load;
+            owner.loaded = now;
+        }
+    }
+
     /// Returns all addresses at which a VM may be.
     pub fn addrs(&self) -> impl Iterator<Item = Ipv4Addr> {
         self.peers.keys().copied()
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -30,6 +30,15 @@
     pub delay: Millis,
 }
 
+impl Load {
+    /// Returns whether all figures are finite and not negative, as those of a
+    /// working owner are.
+    pub fn is_valid(&self) -> bool {
+        let figures = [self.cores, self.free, self.waiting];
+        figures.iter().all(|f| f.is_finite() && *f >= 0.0)
+    }
+}
+
 /// Run numbers used by a job that has ended.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct EndedJob {
