--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -7,7 +7,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kernel::{BootClock, Clock, HashMap, Millis, Timestamp};
 use metrics::Metrics;
-use ownership::{Peers, Shard, Tokens};
+use ownership::{Peers, SentWork, Shard, Tokens};
 use schedule::MinionInfo;
 use tokio::net::UdpSocket;
 use wire::{Client, TcpConnect};
@@ -47,6 +47,8 @@
     pub remote_jobs: Mutex<HashMap<SocketAddr, usize>>,
     /// Steps of this VM's start.
     pub startup: Startup,
+    /// Jobs sent to shards of other VMs since their last reports.
+    pub sent_work: Mutex<SentWork>,
     /// True once the planned stop of this VM has begun.
     pub stopping: AtomicBool,
 }
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -115,6 +115,7 @@
             tokens: Mutex::new(tokens),
             remote_jobs: Mutex::new(HashMap::default()),
             startup: Startup::new(),
+            sent_work: Mutex::default(),
             stopping: AtomicBool::new(false),
             clock,
             cfg,
--- a/components/engine/src/here.rs
+++ b/components/engine/src/here.rs
@@ -72,7 +72,7 @@
                 log::info!(job:% = id, shard:% = owned.shard(), retry_ms = retry.0, free = load.free,
                     waiting = load.waiting, cores = load.cores, evacuated = evacuated;
                     "job refused: no free capacity in time");
-                return JobReply::Ended(Outcome::Refused { retry });
+                return JobReply::Refused { retry, load };
             }
             Admission::Taken => {}
         }
--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -18,7 +18,6 @@
 mod owned;
 mod pages;
 mod register;
-mod route;
 mod startup;
 mod submit;
 mod timetable;
