--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -110,6 +110,8 @@
     pub(crate) held: HashMap<Shard, u32>,
     /// Number of minions in each domain, as far as this VM knows the register.
     pub(crate) minions: HashMap<Domain, u32>,
+    /// True while messages queue at this VM's link.
+    pub(crate) link_busy: bool,
 }
 
 impl Peers {
@@ -130,6 +132,7 @@
             fresh: Vec::new(),
             held: HashMap::default(),
             minions: HashMap::default(),
+            link_busy: false,
         }
     }
 
@@ -421,8 +424,8 @@
         }
     }
 
-    /// Returns the VM that should take over a shard of this one: one that has
-    /// room for it, if any, and else the largest. Without `anywhere` only VMs of
+    /// Returns the VM that should take over a shard of this one: the largest that
+    /// has room for it, if any, and else the one that would exceed its room least. Without `anywhere` only VMs of
     /// the shard's domain are considered.
     pub fn successor(&self, shard: &Shard, anywhere: bool, now: Timestamp) -> Option<VmInfo> {
         let candidates = self.alive(now).filter(|vm| !vm.leaving);
@@ -431,15 +434,15 @@
         candidates
             .max_by_key(|vm| {
                 let home = vm.domain == shard.domain;
-                (home, self.fits(shard, vm, &planned), vm.share, vm.addr)
+                (home, self.spare(shard, vm, &planned), vm.share, vm.addr)
             })
             .cloned()
     }
 
     /// Returns the VM that should own a shard of this VM instead: any VM of the
     /// shard's domain if this one is in another domain. Otherwise it must have
-    /// room for the shard, and either have at least twice this VM's size or
-    /// relieve this VM, which holds more than it has room for. Both VMs must have
+    /// room for the shard and at least twice this VM's size, or relieve this VM,
+    /// which owns more than it has room for. Both VMs must have
     /// been alive for `settle_time`, as each handover has a cost, or for
     /// `listen_time` if this VM holds too much.
     pub fn better_owner(&self, shard: &Shard, now: Timestamp) -> Option<SocketAddr> {
@@ -458,7 +461,7 @@
         let settled = self.peers.get(&ip)?.alive_since.after(wait) <= now;
         let own = self.started.after(wait) <= now;
         let fits = self.fits(shard, &best, &HashMap::default());
-        let better = away || fits && (larger || crowded);
+        let better = away || fits && larger || crowded && self.relieves(shard, &best);
         (settled && own && better).then_some(best.addr)
     }
 
