--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -13,8 +13,10 @@
 use wire::{Client, TcpConnect};
 
 use crate::config::EngineConfig;
+use crate::evacuation::Evacuations;
 use crate::model::Configuration;
 use crate::owned::Owned;
+use crate::startup::Startup;
 
 /// The shared state of one VM.
 #[derive(Debug)]
@@ -31,6 +33,8 @@
     pub socket: UdpSocket,
     /// Configuration in force.
     pub configuration: ArcSwapOption<Configuration>,
+    /// Domains that are being evacuated.
+    pub evacuations: ArcSwap<Evacuations>,
     /// Register of minions; empty until it has been read.
     pub register: ArcSwapOption<Vec<MinionInfo>>,
     /// Shards that this VM owns.
@@ -41,6 +45,8 @@
     pub tokens: Mutex<Tokens>,
     /// Number of jobs that each other VM runs for this one.
     pub remote_jobs: Mutex<HashMap<SocketAddr, usize>>,
+    /// Steps of this VM's start.
+    pub startup: Startup,
     /// True once the planned stop of this VM has begun.
     pub stopping: AtomicBool,
 }
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -20,8 +20,10 @@
 use crate::control::Minions;
 use crate::core::Core;
 use crate::drive;
+use crate::evacuation::{self, Evacuations};
 use crate::handover;
 use crate::model::Configuration;
+use crate::startup::{Startup, Step};
 use crate::submit::submit;
 
 /// Number of VMs of a domain, besides the first candidate, that follow the
@@ -106,11 +108,13 @@
             minions,
             socket,
             configuration: ArcSwapOption::empty(),
+            evacuations: ArcSwap::default(),
             register: ArcSwapOption::empty(),
             owned: ArcSwap::default(),
             peers: Mutex::new(peers),
             tokens: Mutex::new(tokens),
             remote_jobs: Mutex::new(HashMap::default()),
+            startup: Startup::new(),
             stopping: AtomicBool::new(false),
             clock,
             cfg,
@@ -131,6 +135,17 @@
         self.core.configuration.load_full()
     }
 
+    /// Puts a state of evacuations that was read from the store in force, unless
+    /// a later one is in force.
+    pub fn evacuate(&self, evacuations: &Evacuations) {
+        evacuation::adopt(&self.core, evacuations, "store");
+    }
+
+    /// Returns the state of evacuations in force.
+    pub fn evacuations(&self) -> Arc<Evacuations> {
+        self.core.evacuations.load_full()
+    }
+
     /// Replaces the register of minions.
     pub fn register(&self, minions: Vec<MinionInfo>) {
         self.core.register.store(Some(Arc::new(minions)));
@@ -193,6 +208,11 @@
         self.core.metrics.clone()
     }
 
+    /// Returns the record of the steps of this VM's start.
+    pub fn startup(&self) -> &Startup {
+        &self.core.startup
+    }
+
     /// Hands this VM's shards over to other VMs and waits until callers have
     /// switched to them. The engine answers requests until the program ends.
     pub async fn leave(&self) {
@@ -221,6 +241,7 @@
         *counts.entry(minion.domain.clone()).or_insert(0) += 1;
     }
     core.peers().set_minions(counts);
+    core.startup.reach(Step::Register);
     for owned in core.owned.load().values() {
         drive::sync_register(core, owned);
     }
@@ -242,5 +263,6 @@
     if changed {
         core.metrics.set(Gauge::ConfigurationVersion, version);
         log::info!(version = version, queues = queues; "configuration in force");
+        core.startup.reach(Step::Configuration);
     }
 }
