--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use kernel::{HashMap, Millis, Timestamp};
+use kernel::{HashMap, Timestamp};
 use metrics::{Count, Gauge};
 use ownership::{Change, Claim, Heartbeat, Report, Shard};
 use rand::seq::IteratorRandom;
@@ -32,10 +32,6 @@
 /// Number of addresses of other VMs in a heartbeat to all.
 pub(crate) const REGULAR_KNOWN: usize = 4;
 
-/// Delay of a start order at this VM's link from which the link counts as busy: a
-/// few times the longest queue that holds and heartbeats meet there.
-const BUSY_DELAY: Millis = Millis(30);
-
 /// Time in milliseconds for which a job that was handed over, or its outcome,
 /// is kept until the VM of its caller asks for it.
 const UNCLAIMED_MS: u64 = 500;
@@ -110,7 +106,7 @@
             evacuation::pull(&core, now);
             pull_register(&core, now);
             report_held(&core);
-            core.peers().set_link_busy(core.link_delay() >= BUSY_DELAY);
+            core.peers().set_link_busy(core.cfg.link.is_busy());
             if !stopping(&core) {
                 handover::hand_to_preferred(&core, now);
                 handover::divide_too_large(&core, now);
@@ -181,7 +177,7 @@
             state.waiters.remove(&id);
             state.scheduler.cancel(&id, now);
         }
-        state.scheduler.set_delay(core.link_delay());
+        state.scheduler.set_link(core.link_delay(), core.cfg.link.is_busy());
         state
             .unclaimed
             .retain(|_, (_, since)| now.since(*since).0 <= UNCLAIMED_MS);
--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -68,10 +68,10 @@
     }
 
     /// Records a hold that got no answer. Returns true if the minion counts as
-    /// silent from now on. While start orders wait for this VM's link the answer
-    /// is rather late than lost, and shorter waits would only add to the queue.
+    /// silent from now on. While this VM's link is busy the answer is rather late
+    /// than lost, and shorter waits would only add to the queue.
     pub fn hold_missed(&mut self, id: &MinionId, now: Timestamp) -> bool {
-        let busy = self.delay.0 * 2 >= self.cfg.short_wait.0;
+        let busy = self.link_busy || self.delay.0 * 2 >= self.cfg.short_wait.0;
         let Some(minion) = self.minions.get_mut(id) else {
             return false;
         };
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -53,6 +53,8 @@
     pub(crate) ratios: HashMap<CompactString, f64>,
     /// Time that a start order waits before it is sent.
     pub(crate) delay: Millis,
+    /// True while the VM's link is busy.
+    pub(crate) link_busy: bool,
     /// Recent rate of admitted work, by priority.
     pub(crate) demand: Demand,
     pub(crate) actions: Vec<Action>,
@@ -74,6 +76,7 @@
             ended_jobs: HashMap::default(),
             ratios: HashMap::default(),
             delay: Millis(0),
+            link_busy: false,
             demand: Demand::default(),
             actions: Vec::new(),
             frozen: false,
@@ -81,9 +84,11 @@
         }
     }
 
-    /// Sets the time that a start order waits before it is sent.
-    pub fn set_delay(&mut self, delay: Millis) {
+    /// Sets the time that a start order waits before it is sent, and whether the
+    /// VM's link is so busy that answers are rather late than lost.
+    pub fn set_link(&mut self, delay: Millis, busy: bool) {
         self.delay = delay;
+        self.link_busy = busy;
     }
 
     /// Returns the actions since the last call.
--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -13,6 +13,19 @@
 /// message waits behind large ones.
 const MAX_QUEUE: Duration = Duration::from_millis(10);
 
+/// Time constant of the decay of a link's usage: several bursts of starts of a
+/// wide job.
+const USAGE_SPAN: Duration = Duration::from_millis(500);
+
+/// Usage from which a link counts as busy. The model leaves out acknowledgements
+/// and the answers to callers, and the queue of a link grows fast beyond two
+/// thirds of its rate.
+const BUSY_USAGE: f64 = 0.4;
+
+/// Bytes of the starts of a wide job, which answers may wait behind on both
+/// sides of a link.
+const BURST_BYTES: usize = 16 << 10;
+
 /// Bytes of packet headers for each message.
 const PACKET_BYTES: usize = 54;
 
@@ -26,6 +39,25 @@
     turn: Arc<tokio::sync::Mutex<()>>,
     /// Bytes of the large messages that wait for their turn.
     waiting: Arc<AtomicU64>,
+    /// Time that the link has recently spent sending.
+    usage: Arc<Mutex<Usage>>,
+}
+
+/// Exponentially decayed time that the link has spent sending.
+#[derive(Debug)]
+struct Usage {
+    /// Decayed time in seconds.
+    busy: f64,
+    /// Time up to which it is decayed.
+    updated: Instant,
+}
+
+impl Usage {
+    fn decay(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.updated);
+        self.busy *= (-elapsed.as_secs_f64() / USAGE_SPAN.as_secs_f64()).exp();
+        self.updated = now;
+    }
 }
 
 /// Bytes of a large message that count as waiting until this is dropped.
@@ -55,9 +87,32 @@
             busy_until: Arc::new(Mutex::new(Instant::now())),
             turn: Arc::default(),
             waiting: Arc::default(),
+            usage: Arc::new(Mutex::new(Usage {
+                busy: 0.0,
+                updated: Instant::now(),
+            })),
         }
     }
 
+    /// Returns the part of the last moments during which the link was sending,
+    /// from 0 to about 1.
+    pub fn usage(&self) -> f64 {
+        let mut usage = self.usage.lock().unwrap_or_else(PoisonError::into_inner);
+        usage.decay(Instant::now());
+        usage.busy / USAGE_SPAN.as_secs_f64()
+    }
+
+    /// Returns whether so much is sent that answers are rather late than lost.
+    pub fn is_busy(&self) -> bool {
+        self.usage() >= BUSY_USAGE
+    }
+
+    /// Returns the time that an answer may wait behind the starts of one wide
+    /// job, which is negligible on all but the slowest links.
+    pub fn burst_time(&self) -> Duration {
+        self.span(BURST_BYTES)
+    }
+
     /// Returns the link's rate.
     pub fn rate(&self) -> BitRate {
         self.rate
@@ -87,6 +142,11 @@
     /// sent.
     pub fn reserve(&self, bytes: usize) -> Duration {
         let span = self.span(bytes + PACKET_BYTES);
+        {
+            let mut usage = self.usage.lock().unwrap_or_else(PoisonError::into_inner);
+            usage.decay(Instant::now());
+            usage.busy += span.as_secs_f64();
+        }
         let mut until = self
             .busy_until
             .lock()
