--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -108,6 +108,7 @@
             evacuation::pull(&core, now);
             pull_register(&core, now);
             report_held(&core);
+            core.peers().set_link_busy(core.cfg.link.is_busy());
             if !stopping(&core) {
                 handover::hand_to_preferred(&core, now);
                 handover::divide_too_large(&core, now);
@@ -178,7 +179,7 @@
             state.waiters.remove(&id);
             state.scheduler.cancel(&id, now);
         }
-        state.scheduler.set_delay(core.link_delay());
+        state.scheduler.set_link(core.link_delay(), core.cfg.link.is_busy());
         state
             .unclaimed
             .retain(|_, (_, since)| now.since(*since).0 <= UNCLAIMED_MS);
--- a/components/entry/src/gauges.rs
+++ b/components/entry/src/gauges.rs
@@ -60,9 +60,9 @@
         | Gauge::MinionsHeld
         | Gauge::CoresFree
         | Gauge::ConfigurationVersion
-        | Gauge::HeartbeatAge
         | Gauge::DomainsEvacuated
-        | Gauge::EvacuationOffset => 0,
+        | Gauge::EvacuationOffset
+        | Gauge::HeartbeatAge => 0,
     };
     value as u64
 }
