--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -179,7 +179,9 @@
             state.waiters.remove(&id);
             state.scheduler.cancel(&id, now);
         }
-        state.scheduler.set_link(core.link_delay(), core.cfg.link.is_busy());
+        state
+            .scheduler
+            .set_link(core.link_delay(), core.cfg.link.is_busy());
         state
             .unclaimed
             .retain(|_, (_, since)| now.since(*since).0 <= UNCLAIMED_MS);
--- a/components/engine/src/here.rs
+++ b/components/engine/src/here.rs
@@ -62,7 +62,9 @@
         }
         state.serial += 1;
         let serial = state.serial;
-        state.scheduler.set_link(core.link_delay(), core.cfg.link.is_busy());
+        state
+            .scheduler
+            .set_link(core.link_delay(), core.cfg.link.is_busy());
         match state.scheduler.submit(now, spec) {
             Admission::Refused { retry } => {
                 let load = state.scheduler.load(now);
--- a/components/ownership/tests/cold_start.rs
+++ b/components/ownership/tests/cold_start.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use kernel::{BitRate, Domain, Incarnation, MilliCores, Millis, Timestamp, key_hash};
+use kernel::{BitRate, Domain, Incarnation, MilliCores, Millis, Offset, Timestamp, key_hash};
 use ownership::{
     Broadcast, Change, Heartbeat, OwnershipConfig, Peers, Report, Room, Shard, VmInfo,
 };
@@ -197,6 +197,7 @@
             version,
             reports,
             known: addrs,
+            evacuations: Offset(0),
         }
     }
 
@@ -457,6 +458,7 @@
         version,
         reports,
         known: Vec::new(),
+        evacuations: Offset(0),
     }
 }
 
