Keep the first jobs for owners of their own domain, and offer them again

Change: on a VM that has just started, jobs wait for an owner of the VM's own domain, and a refused job is offered again within the first second while its caller waits.

--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -8,6 +8,7 @@
 use kernel::{Millis, Timestamp};
 use metrics::{Count, Timing};
 use ownership::{Candidate, MAX_OFFERS, Shard, choose, choose_next};
+use rand::Rng;
 use schedule::{JobSpec, Load, Outcome};
 
 use crate::calls::{JobAction, JobCall, JobReply, call_job};
@@ -128,35 +129,72 @@
     }
 }
 
-/// Interval at which a job that waits for the first owner checks for one.
+/// Interval at which a job that waits for an owner checks for one.
 const OWNER_POLL: Millis = Millis(20);
 
-/// Waits, on a VM that has just started, until a shard can take the job. After
-/// a loss of all VMs, shards get owners within some hundred milliseconds; a
-/// refused caller would be told to wait longer than that before it retries.
+/// Longest pause before a job that was refused on a VM that has just started is
+/// offered again. Each pause is drawn, so that the jobs of all VMs do not return
+/// together.
+const START_PAUSE: Millis = Millis(100);
+
+/// Returns whether a job on a VM that has just started can wait and still be
+/// answered in time. After a loss of all VMs, shards get owners and minions
+/// within some hundred milliseconds; a refused caller would be told to wait
+/// longer than that before it retries.
+fn may_wait<M>(core: &Core<M>, spec: &JobSpec, start: Timestamp) -> bool {
+    let now = core.now();
+    let needed = now.after(spec.critical_path());
+    core.peers().starting(now) && needed < start.after(spec.timeout)
+}
+
+/// Waits, on a VM that has just started, until a shard of the VM's own domain can
+/// take the job. The first owner of another domain would get the jobs of all VMs
+/// otherwise, more than it can accept connections for.
 async fn await_owner<M: Minions>(core: &Core<M>, spec: &JobSpec, start: Timestamp) {
-    let latest = start.after(spec.timeout).0;
-    let latest = Timestamp(latest.saturating_sub(spec.critical_path().micros()));
-    loop {
-        let now = core.now();
-        let starting = core.peers().starting(now);
-        if !starting || now >= latest || next_shard(core, spec, &[], None).is_some() {
+    while may_wait(core, spec, start) {
+        if home_owned(core) && next_shard(core, spec, &[], None).is_some() {
             return;
         }
         tokio::time::sleep(OWNER_POLL.duration()).await;
     }
 }
 
-/// Runs a job once, on the first shard that does not refuse it.
+/// Returns whether a shard of this VM's domain has an owner, or the domain is
+/// being evacuated.
+fn home_owned<M>(core: &Core<M>) -> bool {
+    let home = &core.cfg.domain;
+    let is_home = |shard: &Shard| shard.domain == *home;
+    core.evacuations.load().contains(home)
+        || core.owned.load().keys().any(is_home)
+        || core.peers().owners().any(|(shard, _)| is_home(shard))
+}
+
+/// Runs a job once. On a VM that has just started a refused job is offered again
+/// while there is time for it.
 async fn run_once<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Outcome {
     let start = core.now();
+    loop {
+        await_owner(core, &spec, start).await;
+        let outcome = offer(core, &spec, start).await;
+        let left = remaining(&spec, start, core.now());
+        match outcome {
+            Outcome::Refused { retry } if retry < left.timeout && may_wait(core, &spec, start) => {
+                let pause = rand::rng().random_range(START_PAUSE.0 / 2..=START_PAUSE.0);
+                tokio::time::sleep(Millis(pause).duration()).await;
+            }
+            _ => return outcome,
+        }
+    }
+}
+
+/// Runs a job on the first shard that does not refuse it.
+async fn offer<M: Minions>(core: &Arc<Core<M>>, spec: &JobSpec, start: Timestamp) -> Outcome {
     // Shortest retry time of the owners that have refused the job.
     let mut retry: Option<Millis> = None;
     let mut tried: Vec<Shard> = Vec::new();
-    await_owner(core, &spec, start).await;
     let mut offers = 0;
     while offers < MAX_OFFERS {
-        let left = remaining(&spec, start, core.now());
+        let left = remaining(spec, start, core.now());
         let Some(next) = next_shard(core, &left, &tried, retry.map(|_| offers)) else {
             break;
         };
@@ -170,7 +208,7 @@
         tried.push(shard.clone());
         let outcome = match run_at_owner(core, &shard, left).await {
             Ok(Ending::Ended(outcome)) => Some(outcome),
-            Ok(Ending::Moved(to)) => Some(resume(core, &shard, &spec, to, start).await),
+            Ok(Ending::Moved(to)) => Some(resume(core, &shard, spec, to, start).await),
             Err(NotStarted) => None,
         };
         match outcome {
