--- a/components/entry/src/confirm.rs
+++ b/components/entry/src/confirm.rs
@@ -53,7 +53,9 @@
 async fn no_vm_started<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, key: &JobKey) -> bool {
     let view = core.view.load_full();
     let asker = core.me.incarnation;
-    if !core.claimer.has_all_claims_of(&view.departed) || has_known_owner(core, key) {
+    // Without the VM list some VMs are not known and can't be asked.
+    let can_ask_all = view.is_listed && core.claimer.has_all_claims_of(&view.departed);
+    if !can_ask_all || has_known_owner(core, key) {
         return false;
     }
     let message = ClaimedQuery {
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -179,14 +179,15 @@
 /// continues from there. Otherwise it continues at the oldest record of the
 /// log.
 async fn fetch_missing_claims<C: Connect, P: Policy>(core: &Arc<Core<C, P>>, first: Offset) {
-    if core.listing.load().is_none() {
-        // The peers are not known yet.
+    // Whether the list is known and whom it names come from one snapshot: with
+    // an older snapshot nobody would be asked, and the claims would be skipped.
+    let view = core.view.load_full();
+    if !view.is_listed {
         sleep(RETRY_PAUSE).await;
         return;
     }
     let mut unanswered = false;
     let mut best: Option<Coverage> = None;
-    let view = core.view.load_full();
     for peer in view.peers.iter().filter(|p| p.health != Health::Gone) {
         let answer = call_peer(&core.peers, peer.peers, CLAIMS_PATH, &(), CLAIMS_TIMEOUT).await;
         match answer {
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -113,10 +113,12 @@
         self.members.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Publishes a snapshot of the peers to the request path.
+    /// Publishes a snapshot of the peers to the request path. The membership
+    /// stays locked until the snapshot is stored, so that an older one never
+    /// replaces a newer one.
     pub fn publish_view(&self) {
-        let view = self.members().view(self.now());
-        self.view.store(view);
+        let mut members = self.members();
+        self.view.store(members.view(self.now()));
     }
 
     /// Returns the id of the VM that an incarnation runs on, or this VM's own
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -155,8 +155,18 @@
         self.minions.push(minion);
     }
 
-    /// Starts a VM on a runtime of its own.
+    /// Starts a VM on a runtime of its own and adds it to the platform's list.
     pub async fn add_vm(&mut self, cfg: Config) {
+        let row = self.add_unlisted_vm(cfg).await;
+        self.platform.change(|list: &mut MachineList| {
+            list.vms.retain(|old| old.id != row.id);
+            list.vms.push(row);
+        });
+    }
+
+    /// Starts a VM on a runtime of its own and returns its row for the
+    /// platform's list.
+    pub async fn add_unlisted_vm(&mut self, cfg: Config) -> VmRow {
         let domain = cfg.domain.clone();
         let endpoint = Endpoint::inside(&domain, cfg.id.as_str());
         let runtime = Builder::new_multi_thread()
@@ -177,12 +187,9 @@
             peers: vm.peers(),
             presence: Presence::Live,
         };
-        self.platform.change(|list: &mut MachineList| {
-            list.vms.retain(|old| old.id != row.id);
-            list.vms.push(row);
-        });
         self.vms.push(vm);
         self.runtimes.push(Some(runtime));
+        row
     }
 
     /// Ends a VM's process at once, without a planned stop.
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -44,6 +44,8 @@
     pub(crate) claims: Option<Offset>,
     /// Known peers.
     pub(crate) peers: Peers,
+    /// Whether a VM list was applied, so that all listed VMs are among the peers.
+    pub(crate) is_listed: bool,
     /// Known leaving minions.
     pub(crate) leaving: Leaving,
     /// Incarnations that are gone for good.
@@ -86,6 +88,7 @@
             sheet: None,
             claims: None,
             peers: Peers::default(),
+            is_listed: false,
             leaving: Leaving::new(config.leaving_hold),
             departed: Departed::new(),
             stopping: StoppingProcesses::default(),
@@ -173,6 +176,7 @@
                 peer.absent_since.get_or_insert(now);
             }
         }
+        self.is_listed = true;
         if self.leaving.apply_listing(now, listing.leaving) {
             self.expedite(now);
         }
@@ -233,6 +237,7 @@
             rank: lower_ids.count(),
             live: peers.iter().filter(live).count() + own,
             peers,
+            is_listed: self.is_listed,
             leaving: self.leaving_view.1.clone(),
             departed: self.departed_view.1.clone(),
             stopping: self.stopping.list(),
--- a/components/membership/src/view.rs
+++ b/components/membership/src/view.rs
@@ -84,6 +84,9 @@
     pub replaced: bool,
     /// Peers in order of their ids.
     pub peers: Vec<PeerView>,
+    /// Whether the VM list is known. Until then `peers` may lack VMs, so that
+    /// asking all of them proves nothing.
+    pub is_listed: bool,
     /// Position of this VM among the live ones in order of ids, from 0.
     pub rank: usize,
     /// Number of live VMs, including this one.
--- a/components/membership/tests/fleet.rs
+++ b/components/membership/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use common::{Fleet, listing, vm};
 use kernel::{Incarnation, Millis, Offset};
-use membership::{Config, Contact, Health, Location, Membership, Presence};
+use membership::{Config, Contact, Health, Heartbeat, Location, Membership, Presence};
 
 const REGIONS: [&str; 5] = ["a", "b", "c", "d", "e"];
 
@@ -450,3 +450,20 @@
         assert_eq!(fleet.view(at).locate(old), gone);
     }
 }
+
+#[test]
+fn unlisted_peers() {
+    // Guards against a snapshot that counts as complete before the list of
+    // machines is known, as heartbeats name only some of the VMs.
+    let mut fleet = Fleet::new(&["a"], 3);
+    let list = listing(&fleet.vms());
+    let now = fleet.now;
+    let me = fleet.nodes[0].vm.clone();
+    let heard: Heartbeat<()> = fleet.nodes[1].state.reply(now, &me, ());
+    fleet.nodes[0].state.on_heartbeat(now, &heard);
+    let view = fleet.view(0);
+    assert_eq!((view.peers.len(), view.is_listed), (1, false));
+    fleet.nodes[0].state.on_listing(now, list);
+    let view = fleet.view(0);
+    assert_eq!((view.peers.len(), view.is_listed), (2, true));
+}
