Soak: evacuations as a fault, and a check of the bound

Ruled out: a new kind among the drawn faults, as every seed would then give another plan, those of tests/faults.rs too. Evacuations have a generator of their own; seeds 1 and 8 get one and two of them. A check only while no other fault is near an evacuation, as for leaving minions: plans have a fault every 1.4 s, so it would never apply. It goes by each start instead.

Change: Fault::Evacuate writes and withdraws the operator's record. A start in an evacuated domain later than 5 s after the store's acknowledgement is a violation, unless a fault that disturbs VMs was in force in the 4 s before.

--- a/components/soak/src/check.rs
+++ b/components/soak/src/check.rs
@@ -2,9 +2,9 @@
 
 use std::fmt;
 
-use kernel::{HashMap, Millis, MinionId};
+use kernel::{Domain, HashMap, Millis, MinionId};
 use platform_standin::Answer;
-use schedule::{EndKind, JobId, TaskName};
+use schedule::{EndKind, JobId, MinionInfo, TaskName};
 use standins::{LeasedFleet, MinionViolation, RunEnd, RunStart};
 
 use crate::records::{Attempt, Record};
@@ -13,6 +13,14 @@
 /// (`bounds.drain-ms`).
 pub(crate) const DRAIN: Millis = Millis(2_000);
 
+/// Time in which an evacuation must be in force on VMs that are in touch
+/// (`bounds.evacuate-ms`).
+const EVACUATE: Millis = Millis(5_000);
+
+/// Time for which a VM must have run undisturbed and reached the store to be in
+/// touch (`bounds.contact-ms`).
+const CONTACT: Millis = Millis(4_000);
+
 /// Failures of a task after which its job fails.
 const ATTEMPTS: usize = 3;
 
@@ -35,6 +43,9 @@
     CutOff(JobId, usize),
     /// A leaving minion got work too long after its announcement.
     LateStart(MinionId, TaskName),
+    /// A run started in an evacuated domain too long after the request, while no
+    /// VM was disturbed.
+    Evacuated(MinionId, TaskName),
     /// A VM handled a request by an older version than a previous request.
     Regressed(usize, u64),
     /// A VM's process ended by itself.
@@ -64,6 +75,9 @@
             Violation::LateStart(minion, task) => {
                 write!(f, "{task} started on the leaving minion {minion}")
             }
+            Violation::Evacuated(minion, task) => {
+                write!(f, "{task} started on {minion} of an evacuated domain")
+            }
             Violation::Regressed(vm, version) => write!(
                 f,
                 "VM {vm} went back from version {version} to an older one"
@@ -112,6 +126,44 @@
     violations
 }
 
+/// An evacuation that the operator has asked for. Times are in milliseconds on the
+/// minions' clock.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Evacuation {
+    /// The domain.
+    pub domain: Domain,
+    /// The time at which the store acknowledged the request.
+    pub begun: u64,
+    /// The time of its withdrawal, if it was withdrawn.
+    pub ended: Option<u64>,
+}
+
+/// Finds runs that started in an evacuated domain later than the bound, while no
+/// VM had been disturbed for so long that all were in touch. `disturbed` has the
+/// beginning and the end of each time in which a VM was disturbed.
+pub fn check_evacuations(
+    infos: &[MinionInfo],
+    starts: &[RunStart],
+    evacuations: &[Evacuation],
+    disturbed: &[(u64, u64)],
+) -> Vec<Violation> {
+    let domains: HashMap<_, _> = infos.iter().map(|m| (&m.id, &m.domain)).collect();
+    let forbidden = |start: &RunStart| {
+        evacuations.iter().any(|e| {
+            let until = e.ended.unwrap_or(u64::MAX);
+            let in_force = e.begun + EVACUATE.0..until;
+            domains.get(&start.minion) == Some(&&e.domain) && in_force.contains(&start.at)
+        })
+    };
+    let in_touch = |at: u64| {
+        let mut recent = disturbed.iter().filter(|(from, _)| *from <= at);
+        recent.all(|(_, until)| until + CONTACT.0 < at)
+    };
+    let late = starts.iter().filter(|s| forbidden(s) && in_touch(s.at));
+    late.map(|s| Violation::Evacuated(s.minion.clone(), s.task.clone()))
+        .collect()
+}
+
 fn check_job(record: &Record, starts: &[&RunStart], ends: &[&RunEnd]) -> Vec<Violation> {
     let job = &record.job;
     let mut violations = Vec::new();
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -12,7 +12,7 @@
 mod site;
 mod vm;
 
-pub use check::{Violation, check};
+pub use check::{Evacuation, Violation, check, check_evacuations};
 pub use error::SoakError;
 pub use plan::{Direction, Fault, Plan, Shape, Step};
 pub use play::{Options, Report, play};
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -18,6 +18,13 @@
 /// Duration of a fault in milliseconds.
 const SPAN_MS: std::ops::Range<u64> = 200..4_000;
 
+/// Duration of an evacuation in milliseconds: some seconds longer than the time
+/// within which it must be in force.
+const EVACUATION_MS: std::ops::Range<u64> = 6_000..12_000;
+
+/// Greatest number of evacuations in a plan.
+const EVACUATIONS: usize = 2;
+
 /// One in this many faults is injected several times in a row.
 const SERIES: u64 = 5;
 
@@ -89,6 +96,8 @@
     Configure,
     /// Callers send more jobs by this factor.
     Burst(f64),
+    /// The operator has a domain evacuated.
+    Evacuate(usize),
 }
 
 impl Fault {
@@ -116,6 +125,36 @@
             Fault::Orders(_) => "orders",
             Fault::Configure => "configure",
             Fault::Burst(_) => "burst",
+            Fault::Evacuate(_) => "evacuate",
+        }
+    }
+
+    /// Returns whether a VM may not run or not reach the store because of the
+    /// fault, so that it may learn of an evacuation late.
+    pub fn disturbs_vms(&self) -> bool {
+        match self {
+            Fault::Kill(_)
+            | Fault::KillAll
+            | Fault::Stop(_)
+            | Fault::Pause(_)
+            | Fault::Isolate(_)
+            | Fault::Part(..)
+            | Fault::CutDomain(_)
+            | Fault::SilenceStore(_)
+            | Fault::Store(..) => true,
+            Fault::Delay
+            | Fault::Reset(_)
+            | Fault::Compact
+            | Fault::Crash(_)
+            | Fault::SilenceMinion(_)
+            | Fault::Slow(..)
+            | Fault::Fail(_)
+            | Fault::Stall(_)
+            | Fault::Drain(_)
+            | Fault::Orders(_)
+            | Fault::Configure
+            | Fault::Burst(_)
+            | Fault::Evacuate(_) => false,
         }
     }
 }
@@ -172,7 +211,9 @@
                 at += rng.random_range(INTERVAL_MS);
             }
         }
+        steps.extend(draw_evacuations(seed, shape, span));
         steps.retain(|s| s.at < span);
+        steps.sort_by_key(|s| s.at);
         Plan {
             seed,
             shape,
@@ -194,6 +235,24 @@
     }
 }
 
+/// Draws the evacuations of a plan. They have a generator of their own, so that
+/// the other faults of a seed are the same as before there were evacuations.
+fn draw_evacuations(seed: u64, shape: Shape, span: Millis) -> Vec<Step> {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(!seed);
+    let count = rng.random_range(0..=EVACUATIONS);
+    let mut steps = Vec::new();
+    for _ in 0..count {
+        let at = rng.random_range(WARM_UP.0..=WARM_UP.0 + span.0 / 2);
+        let span_ms = rng.random_range(EVACUATION_MS);
+        steps.push(Step {
+            at: Millis(at),
+            span: Millis(span_ms.min(span.0.saturating_sub(at))),
+            fault: Fault::Evacuate(rng.random_range(0..shape.domains)),
+        });
+    }
+    steps
+}
+
 fn draw(rng: &mut Xoshiro256PlusPlus, shape: Shape) -> Fault {
     let vm = rng.random_range(0..shape.vms);
     let minion = rng.random_range(0..shape.minions * shape.domains);
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -10,7 +10,7 @@
 use platform_standin::Answer;
 use tokio::sync::watch;
 
-use crate::check::{DRAIN, Violation, check};
+use crate::check::{DRAIN, Violation, check, check_evacuations};
 use crate::error::SoakError;
 use crate::load::Load;
 use crate::plan::{Fault, Plan};
@@ -34,6 +34,10 @@
 /// Time that a planned stop and the restart may take together.
 const STOP_SPAN: Millis = Millis(7_000);
 
+/// Time that a VM's process takes to start and to find the others after a fault
+/// has ended. It is generous because the machine may be under other load.
+const RETURN_SPAN: Millis = Millis(2_000);
+
 /// Options of a run.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -121,6 +125,13 @@
     violations.extend(site.ended.iter().copied().map(Violation::Ended));
     violations.extend(late_starts(&site, plan));
     violations.extend(cut_offs(&records, plan, begin));
+    let disturbed = disturbed_times(plan, begin);
+    violations.extend(check_evacuations(
+        &site.fleet.infos(),
+        &site.fleet.starts(),
+        &site.evacuations,
+        &disturbed,
+    ));
     site.kill_all().await;
     Ok(report(violations, &records, &site, plan))
 }
@@ -244,6 +255,24 @@
     violations
 }
 
+/// Returns the times on the minions' clock in which a VM was disturbed: from the
+/// beginning of each fault that disturbs VMs until they are back. The load began
+/// at `begin`.
+fn disturbed_times(plan: &Plan, begin: u64) -> Vec<(u64, u64)> {
+    let steps = plan.steps.iter().filter(|s| s.fault.disturbs_vms());
+    steps
+        .map(|step| {
+            let from = begin + step.at.0;
+            let span = match step.fault {
+                // The process ends within this time and is restarted then.
+                Fault::Stop(_) => step.span.max(STOP_SPAN),
+                _ => step.span,
+            };
+            (from, from + span.0 + RETURN_SPAN.0)
+        })
+        .collect()
+}
+
 /// Finds connections that ended without an answer around a planned stop, while
 /// no other fault was in force.
 fn cut_offs(records: &[Record], plan: &Plan, begin: u64) -> Vec<Violation> {
--- a/components/soak/src/site.rs
+++ b/components/soak/src/site.rs
@@ -13,6 +13,7 @@
 use schedule::{MinionInfo, Resources};
 use standins::{Endpoint, Hops, LeasedFleet, Net, Relay};
 
+use crate::check::Evacuation;
 use crate::error::SoakError;
 use crate::plan::{Direction, Fault, Shape};
 use crate::vm::{Environment, Vm, VmAddrs};
@@ -42,6 +43,8 @@
     /// The minions that announced that they leave: the index of the step in the
     /// plan, the minion, and the time on the minions' clock.
     pub drained: Vec<(usize, MinionId, u64)>,
+    /// The evacuations that the operator has asked for.
+    pub evacuations: Vec<Evacuation>,
     /// The VMs whose processes ended by themselves.
     pub ended: Vec<usize>,
     domains: Vec<Domain>,
@@ -102,6 +105,7 @@
             vms: Vec::new(),
             versions: Vec::new(),
             drained: Vec::new(),
+            evacuations: Vec::new(),
             ended: Vec::new(),
             domains,
             servers: Vec::new(),
@@ -268,6 +272,7 @@
             Fault::Configure => self.publish_configuration()?,
             // The run sets the factor on the load.
             Fault::Burst(_) => {}
+            Fault::Evacuate(i) => self.evacuate(i),
         }
         Ok(())
     }
@@ -293,6 +298,7 @@
             }
             Fault::Slow(i, _) => self.fleet.change(&self.ids[i], |m, _| m.slowness = 1.0),
             Fault::Fail(i) => self.fleet.change(&self.ids[i], |m, _| m.fail_all = false),
+            Fault::Evacuate(i) => self.end_evacuation(i),
             Fault::Orders(_) => {
                 let none = OrderFaults::default();
                 self.servers.iter().for_each(|s| s.set(none));
@@ -302,6 +308,33 @@
         Ok(())
     }
 
+    /// Has a domain evacuated, as the operator does.
+    fn evacuate(&mut self, i: usize) {
+        let domain = &self.domains[i];
+        self.store
+            .put(Topic::Operator, &format!("evacuate/{domain}"), b"{}");
+        self.evacuations.push(Evacuation {
+            domain: domain.clone(),
+            begun: self.fleet.now(),
+            ended: None,
+        });
+    }
+
+    /// Ends the first evacuation of a domain that has not ended, and withdraws the
+    /// request unless another one of the domain goes on.
+    fn end_evacuation(&mut self, i: usize) {
+        let domain = &self.domains[i];
+        let ongoing = self.evacuations.iter_mut();
+        let mut ongoing = ongoing.filter(|e| e.ended.is_none() && e.domain == *domain);
+        if let Some(first) = ongoing.next() {
+            first.ended = Some(self.fleet.now());
+        }
+        if ongoing.next().is_none() {
+            self.store
+                .put(Topic::Operator, &format!("evacuate/{domain}"), &[]);
+        }
+    }
+
     fn partition(&self, vm: usize, direction: Direction, on: bool) {
         let one = &self.vms[vm];
         for other in self.vms.iter().filter(|o| o.name != one.name) {
--- a/components/soak/tests/checks.rs
+++ b/components/soak/tests/checks.rs
@@ -3,7 +3,7 @@
 use kernel::{Fence, Gpus, LeaseTime, Mebibytes, MilliCores, Millis, MinionId, RunNumber};
 use platform_standin::{Answer, Job};
 use schedule::{MinionInfo, Resources, StartOrder, TaskName};
-use soak::{Attempt, Record, Violation, check};
+use soak::{Attempt, Evacuation, Record, Violation, check, check_evacuations};
 use standins::{LeasedFleet, MinionViolation, Work};
 
 const NUMBER: &str = "00000000000000ab";
@@ -170,6 +170,36 @@
     );
 }
 
+/// Fails if a late start in an evacuated domain is not found, or one is reported
+/// that was within the bound, after the end, in another domain, or while a VM may
+/// have been out of touch.
+#[test]
+fn evacuated_domain() {
+    let fleet = fleet();
+    start(&fleet, "m-0", 0, work());
+    let at = 20_000;
+    let mut starts = fleet.starts();
+    starts[0].at = at;
+    let evacuation = |domain: &str, begun: u64, ended: Option<u64>| Evacuation {
+        domain: domain.parse().unwrap(),
+        begun,
+        ended,
+    };
+    let found = |evacuation: Evacuation, disturbed: &[(u64, u64)]| {
+        check_evacuations(&fleet.infos(), &starts, &[evacuation], disturbed).len()
+    };
+    let late = at - 5_000;
+    assert_eq!(found(evacuation("d0", late, None), &[]), 1);
+    assert_eq!(found(evacuation("d0", late, Some(at + 1)), &[]), 1);
+    assert_eq!(found(evacuation("d0", late + 1, None), &[]), 0);
+    assert_eq!(found(evacuation("d0", late, Some(at)), &[]), 0);
+    assert_eq!(found(evacuation("d1", late, None), &[]), 0);
+    let disturbed = [(at - 5_000, at - 4_001), (at + 1, at + 10)];
+    assert_eq!(found(evacuation("d0", late, None), &disturbed), 1);
+    let disturbed = [(at - 5_000, at - 4_000)];
+    assert_eq!(found(evacuation("d0", late, None), &disturbed), 0);
+}
+
 #[test]
 fn older_version() {
     let fleet = fleet();
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -35,15 +35,15 @@
     assert!(report.answers["completed"] > 0, "{report}");
 }
 
-/// Plays a planned stop, a killed VM, a paused VM and a store that rejects
-/// calls.
+/// Plays a planned stop, a killed VM, a paused VM, a store that rejects calls
+/// and an evacuated domain.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn lost_vms() {
     play_seed(1).await;
 }
 
-/// Plays an isolated failure domain, lossy orders, a planned stop and slow
-/// minions.
+/// Plays an isolated failure domain, lossy orders, a planned stop, slow minions
+/// and evacuated domains.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn isolated_domain() {
     play_seed(8).await;
