Test a wave of jobs on minions of different speeds

Cause: placement prefers slow minions for jobs that look loose, and nothing tested a fleet whose kinds of minions differ in speed.

Change: a load generator with kinds of minions, speeds, run-time tails and a wave (tests/common/wave.rs), and tests of it.

--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, missing_docs)]
 
 pub mod load;
+pub mod wave;
 
 use std::collections::BTreeMap;
 
@@ -18,6 +19,8 @@
 };
 use standins::{LeasedMinion, Work, find_violations};
 
+use wave::FleetKind;
+
 pub fn cores(count: u32) -> Resources {
     Resources {
         cpu: MilliCores(count * 1_000),
@@ -95,6 +98,36 @@
     pub late_orders: f64,
 }
 
+/// Variation of the run times of a job's tasks. It depends on the task's name
+/// only, so that a task that is run again takes as long as before.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Variation {
+    /// Largest deviation from the job's run time, as a fraction of it.
+    pub spread: f64,
+    /// Fraction of the tasks that take `tail_factor` times as long.
+    pub tail_share: f64,
+    pub tail_factor: f64,
+}
+
+impl Variation {
+    fn apply(&self, task: &TaskName, span: Millis) -> Millis {
+        if self.spread == 0.0 && self.tail_share == 0.0 {
+            return span;
+        }
+        let bytes = task.as_str().bytes();
+        let seed = bytes.fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
+        let mut rng = StdRng::seed_from_u64(seed);
+        let factor = 1.0 + self.spread * rng.random_range(-1.0..1.0);
+        let tail = match rng.random::<f64>() < self.tail_share {
+            true => self.tail_factor,
+            false => 1.0,
+        };
+        Millis((span.0 as f64 * factor * tail) as u64)
+    }
+}
+
 /// Owners, minions and the network between them, simulated in steps of 1 ms.
 pub struct Simulation {
     pub now: u64,
@@ -104,6 +137,8 @@
     /// Minions that have vanished; messages to them get no answer.
     pub gone: Vec<MinionId>,
     pub faults: Faults,
+    /// Variation of run times within a job.
+    pub variation: Variation,
     pub outcomes: Vec<(u64, JobId, Outcome)>,
     pub starts: u64,
     /// Number of times an owner lost a minion to another owner.
@@ -120,6 +155,25 @@
 
 impl Simulation {
     pub fn new(seed: u64, owners: usize, sizes: &[u32]) -> Simulation {
+        let infos = sizes.iter().enumerate();
+        let infos = infos.map(|(i, size)| minion(&format!("m-{i:02}"), *size));
+        let minions = infos.map(LeasedMinion::new).collect();
+        Simulation::with_minions(seed, owners, minions)
+    }
+
+    /// Creates a simulation of one owner with these minions, one of each entry.
+    pub fn with_kinds(seed: u64, kinds: &[FleetKind]) -> Simulation {
+        let minions = kinds.iter().enumerate().map(|(i, kind)| {
+            let mut info = minion(&format!("m-{i:03}"), kind.cores);
+            info.labels = vec![kind.label.into()];
+            let mut minion = LeasedMinion::new(info);
+            minion.slowness = 1.0 / kind.speed;
+            minion
+        });
+        Simulation::with_minions(seed, 1, minions.collect())
+    }
+
+    fn with_minions(seed: u64, owners: usize, minions: Vec<LeasedMinion>) -> Simulation {
         let mut sim = Simulation {
             now: 1_000,
             owners: Vec::new(),
@@ -127,6 +181,7 @@
             minions: BTreeMap::new(),
             gone: Vec::new(),
             faults: Faults::default(),
+            variation: Variation::default(),
             outcomes: Vec::new(),
             starts: 0,
             losses: 0,
@@ -138,9 +193,8 @@
             token: 1,
             rng: StdRng::seed_from_u64(seed),
         };
-        for (i, size) in sizes.iter().enumerate() {
-            let info = minion(&format!("m-{i:02}"), *size);
-            sim.minions.insert(info.id.clone(), LeasedMinion::new(info));
+        for minion in minions {
+            sim.minions.insert(minion.info.id.clone(), minion);
         }
         for _ in 0..owners {
             sim.owners.push(Scheduler::new(ScheduleConfig::default()));
@@ -162,6 +216,16 @@
         }
     }
 
+    /// Replaces an owner by a new one that gets its state by handover.
+    pub fn hand_over(&mut self, owner: usize) {
+        let time = self.time();
+        self.owners[owner].freeze(true);
+        let state = self.owners[owner].export(time);
+        let mut next = Scheduler::new(ScheduleConfig::default());
+        next.import(time, state, || self.next_token());
+        self.owners[owner] = next;
+    }
+
     /// Returns a token above all earlier ones.
     pub fn next_token(&mut self) -> Fence {
         self.token += 1;
@@ -286,7 +350,8 @@
         let time = self.time();
         match message {
             Message::Start(owner, order) => {
-                let work = self.work[&order.task.job().unwrap()];
+                let mut work = self.work[&order.task.job().unwrap()];
+                work.span = self.variation.apply(&order.task, work.span);
                 let minion = self.minions.get_mut(&order.minion).unwrap();
                 let reply = minion.start(&order, work, now);
                 self.starts += 1;
