--- a/components/schedule/src/lib.rs
+++ b/components/schedule/src/lib.rs
@@ -13,6 +13,8 @@
 mod demand;
 mod estimate;
 mod evacuation;
+mod evidence;
+mod forecast;
 mod health;
 mod ids;
 mod job;
@@ -31,6 +33,9 @@
 pub use answers::HoldResult;
 pub use config::ScheduleConfig;
 pub use evacuation::GivenBack;
+pub use evidence::{
+    EvidenceError, EvidenceReport, MAX_AGE, MinionKind, MinionKindError, PairReport, REPORTED_PAIRS,
+};
 pub use ids::{JobId, JobIdError, TaskName};
 pub use job::{JobSpec, Outcome, Step, Summary};
 pub use kernel::{Fence, Gpus, LeaseTime, Mebibytes, MilliCores, RunNumber};
--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, missing_docs)]
 
 pub mod load;
+pub mod wave;
 
 use std::collections::BTreeMap;
 
@@ -18,6 +19,8 @@
 };
 use standins::{LeasedMinion, Work, find_violations};
 
+use wave::FleetKind;
+
 pub fn cores(count: u32) -> Resources {
     Resources {
         cpu: MilliCores(count * 1_000),
@@ -43,6 +46,7 @@
         labels: vec!["a".into()],
         draining: false,
         born: 1,
+        kind: "a".into(),
     }
 }
 
@@ -95,6 +99,36 @@
     pub late_orders: f64,
 }
 
+/// Variation of the run times of a job's tasks. It depends on the task's name
+/// only, so that a task that is run again takes as long as before.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Variation {
+    /// Largest deviation from the job's run time, as a fraction of it.
+    pub spread: f64,
+    /// Fraction of the tasks that take `tail_factor` times as long.
+    pub tail_share: f64,
+    pub tail_factor: f64,
+}
+
+impl Variation {
+    fn apply(&self, task: &TaskName, span: Millis) -> Millis {
+        if self.spread == 0.0 && self.tail_share == 0.0 {
+            return span;
+        }
+        let bytes = task.as_str().bytes();
+        let seed = bytes.fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
+        let mut rng = StdRng::seed_from_u64(seed);
+        let factor = 1.0 + self.spread * rng.random_range(-1.0..1.0);
+        let tail = match rng.random::<f64>() < self.tail_share {
+            true => self.tail_factor,
+            false => 1.0,
+        };
+        Millis((span.0 as f64 * factor * tail) as u64)
+    }
+}
+
 /// Owners, minions and the network between them, simulated in steps of 1 ms.
 pub struct Simulation {
     pub now: u64,
@@ -104,10 +138,14 @@
     /// Minions that have vanished; messages to them get no answer.
     pub gone: Vec<MinionId>,
     pub faults: Faults,
+    /// Variation of run times within a job.
+    pub variation: Variation,
     pub outcomes: Vec<(u64, JobId, Outcome)>,
     pub starts: u64,
     /// Number of times an owner lost a minion to another owner.
     pub losses: u64,
+    /// Results of comparing the kinds' speeds: whether they differ.
+    pub comparisons: Vec<bool>,
     pub violations: Vec<String>,
     /// Orders that reached the minions, with their replies, for debugging.
     pub order_log: Vec<String>,
@@ -120,6 +158,26 @@
 
 impl Simulation {
     pub fn new(seed: u64, owners: usize, sizes: &[u32]) -> Simulation {
+        let infos = sizes.iter().enumerate();
+        let infos = infos.map(|(i, size)| minion(&format!("m-{i:02}"), *size));
+        let minions = infos.map(LeasedMinion::new).collect();
+        Simulation::with_minions(seed, owners, minions)
+    }
+
+    /// Creates a simulation of one owner with these minions, one of each entry.
+    pub fn with_kinds(seed: u64, kinds: &[FleetKind]) -> Simulation {
+        let minions = kinds.iter().enumerate().map(|(i, kind)| {
+            let mut info = minion(&format!("m-{i:03}"), kind.cores);
+            info.labels = vec![kind.label.into()];
+            info.kind = kind.label.into();
+            let mut minion = LeasedMinion::new(info);
+            minion.slowness = 1.0 / kind.speed;
+            minion
+        });
+        Simulation::with_minions(seed, 1, minions.collect())
+    }
+
+    fn with_minions(seed: u64, owners: usize, minions: Vec<LeasedMinion>) -> Simulation {
         let mut sim = Simulation {
             now: 1_000,
             owners: Vec::new(),
@@ -127,9 +185,11 @@
             minions: BTreeMap::new(),
             gone: Vec::new(),
             faults: Faults::default(),
+            variation: Variation::default(),
             outcomes: Vec::new(),
             starts: 0,
             losses: 0,
+            comparisons: Vec::new(),
             violations: Vec::new(),
             order_log: Vec::new(),
             work: BTreeMap::new(),
@@ -138,9 +198,8 @@
             token: 1,
             rng: StdRng::seed_from_u64(seed),
         };
-        for (i, size) in sizes.iter().enumerate() {
-            let info = minion(&format!("m-{i:02}"), *size);
-            sim.minions.insert(info.id.clone(), LeasedMinion::new(info));
+        for minion in minions {
+            sim.minions.insert(minion.info.id.clone(), minion);
         }
         for _ in 0..owners {
             sim.owners.push(Scheduler::new(ScheduleConfig::default()));
@@ -162,6 +221,16 @@
         }
     }
 
+    /// Replaces an owner by a new one that gets its state by handover.
+    pub fn hand_over(&mut self, owner: usize) {
+        let time = self.time();
+        self.owners[owner].freeze(true);
+        let state = self.owners[owner].export(time);
+        let mut next = Scheduler::new(ScheduleConfig::default());
+        next.import(time, state, || self.next_token());
+        self.owners[owner] = next;
+    }
+
     /// Returns a token above all earlier ones.
     pub fn next_token(&mut self) -> Fence {
         self.token += 1;
@@ -273,6 +342,7 @@
                 Action::Start(order) => self.send(Message::Start(owner, order)),
                 Action::Stop(order) => self.send(Message::Stop(owner, order)),
                 Action::Settle(id, outcome, _) => self.outcomes.push((self.now, id, outcome)),
+                Action::SpeedsCompared { uneven, .. } => self.comparisons.push(uneven),
                 Action::Ejected(..) | Action::Failed(..) | Action::Hung(..) => {}
             }
         }
@@ -286,7 +356,8 @@
         let time = self.time();
         match message {
             Message::Start(owner, order) => {
-                let work = self.work[&order.task.job().unwrap()];
+                let mut work = self.work[&order.task.job().unwrap()];
+                work.span = self.variation.apply(&order.task, work.span);
                 let minion = self.minions.get_mut(&order.minion).unwrap();
                 let reply = minion.start(&order, work, now);
                 self.starts += 1;
