A cold start needs no VM without a configuration

Cause: the evidence that another VM starts too (version 0) is in its first heartbeats only, which go to the seeds. On a site of 6 the VMs that started last heard none and listened 500 ms.

Two VMs that have been heard and report no owner of the shard, also none on behalf of others, are evidence enough (one if no more are known): the report is in the same datagram as the answer, so that no loss can hide it. The difference from before for a VM that is cut off with idle ones is when it takes a shard, not whether; with a single one it listens 500 ms as before (one_neighbour).

Tried and dropped: a stagger of 50 or 80 ms in place of 150.

--- a/components/ownership/src/cold_start.rs
+++ b/components/ownership/src/cold_start.rs
@@ -4,7 +4,7 @@
 
 use kernel::Timestamp;
 
-use crate::heartbeat::{Heartbeat, Report, VmInfo};
+use crate::heartbeat::{Report, VmInfo};
 use crate::peers::Peers;
 use crate::plan::Planned;
 use crate::shard::Shard;
@@ -14,24 +14,11 @@
 /// 147 answers still fit into 0.4 s of a link of 2 Mbit/s.
 const RELAYED: usize = 2;
 
-/// What the heartbeats of other VMs tell about the start of this one.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct FirstHeard {
-    /// Time of the first heartbeat of another VM.
-    at: Option<Timestamp>,
-    /// True if another VM has been heard that has no configuration yet. A VM
-    /// has none only in its first moments, while all running VMs have one.
-    starting: bool,
-}
+/// Number of other VMs that must have been heard, unless fewer are known: a
+/// single one may be cut off from the owners together with this VM.
+const HEARD: usize = 2;
 
 impl Peers {
-    /// Records what a heartbeat of another VM tells about a cold start.
-    pub(crate) fn record_first(&mut self, heartbeat: &Heartbeat, now: Timestamp) {
-        let first = &mut self.first_heard;
-        first.at.get_or_insert(now);
-        first.starting |= heartbeat.version == 0;
-    }
-
     /// Returns whether this VM has listened for long enough to take a shard:
     /// for `listen_time`, or in a cold start for `answer_time` if the shard is
     /// of its domain and it has room for it. Without room it may only not have
@@ -67,12 +54,13 @@
         !relayed || addr != self.me.addr && !self.is_owned(&report.shard)
     }
 
-    /// Returns whether other VMs start at the same time as this one, and the
-    /// answers of running VMs, which report the owners that they know, would
-    /// have arrived.
+    /// Returns whether all VMs seem to be starting, unless an owner is known:
+    /// other VMs have been heard, and the answers of running ones, which report
+    /// the owners that they know, would have arrived.
     fn is_cold_start(&self, now: Timestamp) -> bool {
-        let first = &self.first_heard;
+        let heard = self.peers.values().filter(|p| p.info.is_some()).count();
+        let enough = heard >= HEARD.min(self.peers.len());
         let answered = |at| now.since(at) >= self.cfg.answer_time;
-        first.starting && first.at.is_some_and(answered)
+        enough && self.first_heard.is_some_and(answered)
     }
 }
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -7,7 +7,6 @@
 use kernel::{Domain, Epoch, HashMap, HashSet, Millis, Timestamp};
 use schedule::Load;
 
-use crate::cold_start::FirstHeard;
 use crate::config::OwnershipConfig;
 use crate::contested::{LOSS_WINDOW, MinionLosses, Yielded};
 use crate::heartbeat::{Claim, Heartbeat, Report, VmInfo};
@@ -91,8 +90,8 @@
     pub(crate) cfg: OwnershipConfig,
     pub(crate) me: VmInfo,
     pub(crate) started: Timestamp,
-    /// What the first heartbeats tell about a start of all VMs.
-    pub(crate) first_heard: FirstHeard,
+    /// Time of the first heartbeat of another VM.
+    pub(crate) first_heard: Option<Timestamp>,
     pub(crate) peers: HashMap<Ipv4Addr, Peer>,
     pub(crate) owners: HashMap<Shard, Owner>,
     /// Claims of this VM to the shards that it owns.
@@ -122,7 +121,7 @@
             cfg,
             me,
             started: now,
-            first_heard: FirstHeard::default(),
+            first_heard: None,
             peers: HashMap::default(),
             owners: HashMap::default(),
             claims: HashMap::default(),
@@ -191,7 +190,7 @@
         if heartbeat.from.addr == self.me.addr {
             return Vec::new();
         }
-        self.record_first(&heartbeat, now);
+        self.first_heard.get_or_insert(now);
         for addr in heartbeat.known {
             self.add_address(addr, now);
         }
--- a/components/ownership/tests/cold_start.rs
+++ b/components/ownership/tests/cold_start.rs
@@ -45,6 +45,8 @@
     spread: Millis,
     /// Lost heartbeats in a hundred.
     loss: u64,
+    /// Number of VMs that do not return, the first ones, which are the seeds.
+    absent: usize,
     seed: u64,
 }
 
@@ -149,10 +151,10 @@
         self.events.insert((at, serial), (vm, event));
     }
 
-    /// Starts all VMs but those after the first `count` at random times. A small VM
-    /// takes up to 300 ms more than a large one.
+    /// Starts the VMs up to `count` at random times. A small VM takes up to 300 ms
+    /// more than a large one.
     fn start(&mut self, count: usize) {
-        for i in 0..count {
+        for i in self.site.absent..count {
             let slow = 36_000_000 / u64::from(self.vms[i].info.share);
             let at = self.draws.below(self.site.spread.micros()) + self.draws.below(slow);
             self.schedule(i, at, Event::Start);
@@ -242,11 +244,10 @@
                 if self.outcome.able == 0 && (0..3).all(able) {
                     self.outcome.able = self.now / 1_000;
                 }
-                // The list of VMs comes from the store, too.
-                let listed = (0..self.vms.len()).filter(|other| self.vms[*other].up);
-                let listed: Vec<_> = listed.map(ip).collect();
-                for addr in listed {
-                    self.vms[i].peers.add_address(addr, now);
+                // The list of VMs comes from the store, too. It has those that
+                // do not return.
+                for other in 0..self.vms.len() {
+                    self.vms[i].peers.add_address(ip(other), now);
                 }
             }
             Event::Receive(heartbeat) => {
@@ -353,6 +354,7 @@
         minions,
         spread: Millis(300),
         loss: 2,
+        absent: 0,
         seed,
     }
 }
@@ -372,10 +374,11 @@
 }
 
 /// Starts a site with each of the seeds.
-fn start(vms: u16, minions: u32, seeds: u64) -> Sum {
+fn start(site: Site, seeds: u64) -> Sum {
+    let vms = site.vms;
     let mut sum = Sum::default();
     for seed in 1..=seeds {
-        let mut model = Model::new(site(vms, minions, seed));
+        let mut model = Model::new(Site { seed, ..site });
         model.start(usize::from(vms));
         model.run(Millis(2_500));
         assert!(model.all_owned(), "{vms} VMs, seed {seed}");
@@ -393,25 +396,38 @@
 
 #[test]
 fn six_vms() {
-    let all = start(6, 24, 20);
+    let all = start(site(6, 24, 0), 20);
     assert!(all.mean <= 250 && all.owned <= 850, "{all:?}");
     assert!(all.lost <= 2, "{all:?}");
 }
 
 #[test]
 fn middle_site() {
-    let all = start(38, 117, 6);
+    let all = start(site(38, 117, 0), 6);
     assert!(all.mean <= 250 && all.owned <= 500, "{all:?}");
     assert!(all.lost <= 1, "{all:?}");
 }
 
 #[test]
 fn large_site() {
-    let all = start(147, 400, 2);
+    let all = start(site(147, 400, 0), 2);
     assert!(all.mean <= 300 && all.owned <= 500, "{all:?}");
     assert!(all.lost <= 1, "{all:?}");
 }
 
+#[test]
+fn absent_seeds() {
+    // The VMs that the settings name do not return, so that the others find each
+    // other by the store's list only.
+    let site = Site {
+        absent: usize::from(SEEDS),
+        ..site(38, 117, 0)
+    };
+    let all = start(site, 6);
+    assert!(all.mean <= 250 && all.owned <= 500, "{all:?}");
+    assert!(all.lost <= 1, "{all:?}");
+}
+
 /// Lets the last `count` of 12 VMs start when the others have long settled. They
 /// are the largest and would have taken shards if they had started with the others.
 /// Returns how many of them take a shard from running owners, over all seeds.
@@ -523,3 +539,20 @@
     };
     assert_eq!(taken_at(claimed), taken_at(|_| Vec::new()));
 }
+
+#[test]
+fn one_neighbour() {
+    // A VM that is cut off together with a single idle one listens for the whole
+    // time before it takes minions from owners that it does not hear.
+    let cfg = OwnershipConfig::default();
+    let vms: Vec<_> = Model::new(site(12, 24, 1)).vms;
+    let home: Vec<_> = vms.into_iter().map(|vm| vm.info).step_by(3).collect();
+    let mut me = Peers::new(cfg, home[0].clone(), Timestamp(0));
+    me.set_minions([(domain(0), 24)].into_iter().collect());
+    (0..4).for_each(|i| me.add_address(ip(i * 3), Timestamp(0)));
+    me.receive(beat(&home[1], 1, Vec::new()), Timestamp(10_000));
+    for ms in (0..cfg.listen_time.0).step_by(25) {
+        let shards = me.shards(&domain(0), 1, Timestamp(ms * 1_000));
+        assert!(me.tick(&shards, Timestamp(ms * 1_000)).is_empty(), "{ms}");
+    }
+}
