First jobs wait for the minions that an owner is taking

Cause: a job waited for the first owner (await_owner), but was then offered to a shard of which a few minions were held, refused for lack of room, and its client told to return after whole seconds, while the other minions were held some ten milliseconds later.

On a VM in its first second (startup_time), a refused job is offered again when owners hold a tenth of the listed minions more than at its refusal, until nine tenths are held or it could no longer end in time. Nothing of it was run, and the number of offers is bounded by the steps of a tenth. Later than a second after the start nothing changes.

--- /dev/null
+++ b/components/engine/src/first_jobs.rs
@@ -0,0 +1,57 @@
+//! Jobs that arrive while an owner is still taking its minions. It refuses them for
+//! lack of room that it has some ten milliseconds later
+//! (docs/design/cold-start.md).
+
+use kernel::Timestamp;
+use schedule::JobSpec;
+
+use crate::core::Core;
+use crate::submit::OWNER_POLL;
+
+/// Part of the listed minions by which those that are held must grow before a
+/// refused job is offered again. It bounds the number of offers of a job.
+const OFFER_STEP: f64 = 0.1;
+
+/// Part of the listed minions above which no more room is expected. Some of the
+/// listed ones may have died with the VMs.
+const MOST_MINIONS: f64 = 0.9;
+
+/// Returns the latest time at which a job can begin to run and still end before
+/// its caller leaves.
+pub(crate) fn latest_begin(spec: &JobSpec, start: Timestamp) -> Timestamp {
+    let end = start.after(spec.timeout).0;
+    Timestamp(end.saturating_sub(spec.critical_path().micros()))
+}
+
+/// Waits, on a VM that has just started, until owners hold clearly more minions
+/// than now. Returns false if a job that was refused is not to be offered again,
+/// because no more are expected while its caller waits.
+pub(crate) async fn await_minions<M>(core: &Core<M>, spec: &JobSpec, start: Timestamp) -> bool {
+    let latest = latest_begin(spec, start);
+    let listed = core.register.load().as_ref().map(|all| all.len() as f64);
+    let before = held_minions(core);
+    loop {
+        let now = core.now();
+        let held = held_minions(core);
+        let complete = listed.is_some_and(|listed| held >= listed * MOST_MINIONS);
+        let step = listed.unwrap_or(before) * OFFER_STEP;
+        if held > before && held >= before + step {
+            return now < latest;
+        }
+        if !core.peers().starting(now) || now >= latest || complete {
+            return false;
+        }
+        tokio::time::sleep(OWNER_POLL.duration()).await;
+    }
+}
+
+/// Returns the number of minions that accept work, by the last reports of all
+/// owners.
+fn held_minions<M>(core: &Core<M>) -> f64 {
+    let now = core.now();
+    let owned = core.owned.load();
+    let mine = owned.values();
+    let mine: u32 = mine.map(|o| o.lock().scheduler.load(now).minions).sum();
+    let others: u32 = core.peers().owners().map(|(_, o)| o.load.minions).sum();
+    f64::from(mine + others)
+}
--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -11,6 +11,7 @@
 mod core;
 mod drive;
 mod engine;
+mod first_jobs;
 mod handover;
 mod here;
 mod model;
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -13,6 +13,7 @@
 use crate::calls::{JobAction, JobCall, JobReply, call_job};
 use crate::control::Minions;
 use crate::core::{Core, lock};
+use crate::first_jobs::{await_minions, latest_begin};
 use crate::here::{resume_local, run_local};
 use crate::owned::Ending;
 use crate::route::{self, Candidate};
@@ -107,14 +108,13 @@
 }
 
 /// Interval at which a job that waits for the first owner checks for one.
-const OWNER_POLL: Millis = Millis(20);
+pub(crate) const OWNER_POLL: Millis = Millis(20);
 
 /// Waits, on a VM that has just started, until a shard can take the job. After
 /// a loss of all VMs, shards get owners within some hundred milliseconds; a
 /// refused caller would be told to wait longer than that before it retries.
 async fn await_owner<M: Minions>(core: &Core<M>, spec: &JobSpec, start: Timestamp) {
-    let latest = start.after(spec.timeout).0;
-    let latest = Timestamp(latest.saturating_sub(spec.critical_path().micros()));
+    let latest = latest_begin(spec, start);
     loop {
         let now = core.now();
         let starting = core.peers().starting(now);
@@ -147,6 +147,12 @@
             Ok(Ending::Moved(to)) => return resume(core, &shard, &spec, to, start).await,
             Err(NotStarted) => {}
         }
+        let starting = core.peers().starting(core.now());
+        let last =
+            |tried: &[Shard]| tried.len() == MAX_SHARDS || next_shard(core, &spec, tried).is_none();
+        if starting && last(&tried) && await_minions(core, &spec, start).await {
+            tried.clear();
+        }
     }
     refused
 }
