--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -114,6 +114,7 @@
             peers: Mutex::new(peers),
             tokens: Mutex::new(tokens),
             remote_jobs: Mutex::new(HashMap::default()),
+            room_found: AtomicBool::new(false),
             startup: Startup::new(),
             sent_work: Mutex::default(),
             stopping: AtomicBool::new(false),
--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -12,6 +12,7 @@
 mod drive;
 mod engine;
 mod evacuation;
+mod first_jobs;
 mod handover;
 mod here;
 mod model;
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -8,12 +8,12 @@
 use kernel::{Millis, Timestamp};
 use metrics::{Count, Timing};
 use ownership::{Candidate, MAX_OFFERS, Shard, choose, choose_next};
-use rand::Rng;
 use schedule::{JobSpec, Load, Outcome};
 
 use crate::calls::{JobAction, JobCall, JobReply, call_job};
 use crate::control::Minions;
 use crate::core::{Core, lock};
+use crate::first_jobs::{await_minions, latest_begin};
 use crate::here::{resume_local, run_local};
 use crate::owned::Ending;
 
@@ -130,29 +130,20 @@
 }
 
 /// Interval at which a job that waits for an owner checks for one.
-const OWNER_POLL: Millis = Millis(20);
-
-/// Longest pause before a job that was refused on a VM that has just started is
-/// offered again. Each pause is drawn, so that the jobs of all VMs do not return
-/// together.
-const START_PAUSE: Millis = Millis(100);
-
-/// Returns whether a job on a VM that has just started can wait and still be
-/// answered in time. After a loss of all VMs, shards get owners and minions
-/// within some hundred milliseconds; a refused caller would be told to wait
-/// longer than that before it retries.
-fn may_wait<M>(core: &Core<M>, spec: &JobSpec, start: Timestamp) -> bool {
-    let now = core.now();
-    let needed = now.after(spec.critical_path());
-    core.peers().starting(now) && needed < start.after(spec.timeout)
-}
+pub(crate) const OWNER_POLL: Millis = Millis(20);
 
 /// Waits, on a VM that has just started, until a shard of the VM's own domain can
-/// take the job. The first owner of another domain would get the jobs of all VMs
+/// take the job. After a loss of all VMs, shards get owners within some hundred
+/// milliseconds; a refused caller would be told to wait longer than that before
+/// it retries. The first owner of another domain would get the jobs of all VMs
 /// otherwise, more than it can accept connections for.
 async fn await_owner<M: Minions>(core: &Core<M>, spec: &JobSpec, start: Timestamp) {
-    while may_wait(core, spec, start) {
-        if home_owned(core) && next_shard(core, spec, &[], None).is_some() {
+    let latest = latest_begin(spec, start);
+    loop {
+        let now = core.now();
+        let waits = core.peers().starting(now) && now < latest;
+        let found = home_owned(core) && next_shard(core, spec, &[], None).is_some();
+        if !waits || found {
             return;
         }
         tokio::time::sleep(OWNER_POLL.duration()).await;
@@ -169,20 +160,17 @@
         || core.peers().owners().any(|(shard, _)| is_home(shard))
 }
 
-/// Runs a job once. On a VM that has just started a refused job is offered again
-/// while there is time for it.
+/// Runs a job once. On a VM that has just started, a refused job is offered again
+/// when owners hold more minions.
 async fn run_once<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Outcome {
     let start = core.now();
+    await_owner(core, &spec, start).await;
     loop {
-        await_owner(core, &spec, start).await;
         let outcome = offer(core, &spec, start).await;
-        let left = remaining(&spec, start, core.now());
-        match outcome {
-            Outcome::Refused { retry } if retry < left.timeout && may_wait(core, &spec, start) => {
-                let pause = rand::rng().random_range(START_PAUSE.0 / 2..=START_PAUSE.0);
-                tokio::time::sleep(Millis(pause).duration()).await;
-            }
-            _ => return outcome,
+        let refused = matches!(outcome, Outcome::Refused { .. });
+        let starting = core.peers().starting(core.now());
+        if !refused || !starting || !await_minions(core, &spec, start).await {
+            return outcome;
         }
     }
 }
--- a/components/schedule/tests/common/wave.rs
+++ b/components/schedule/tests/common/wave.rs
@@ -130,7 +130,14 @@
             Admission::Taken => None,
             Admission::Refused { retry } => Some((at, Outcome::Refused { retry })),
         };
-        self.submitted.push(Submitted { spec, at, end });
+        let width = f64::from(spec.steps[0].count);
+        self.submitted.push(Submitted {
+            work: width * f64::from(TASK_CORES) * run_ms,
+            origin: 0,
+            spec,
+            at,
+            end,
+        });
     }
 
     /// Submits jobs at random times for so many milliseconds.
