Show evacuated domains: metrics page, pomeloctl evacuations, pages

Cause: an operator could not see which domains a VM on the platform knows as evacuated, and nothing described the design.

Ruled out: pomeloctl status, whose /v1/status only VMs with the product's own interface answer; a set of domains encoded in the plain gauge.

Change: the metrics page of the platform has pomelopost_domain_evacuated with the domain as its label. pomeloctl evacuations reads the pages of all VMs, prints offset and domains of each, and exits with 1 if one lags or does not answer. docs/design/evacuation.md, OPERATIONS.md, METRICS.md, GLOSSARY.md, CHANGELOG.md; walks.rs plays the evacuation that OPERATIONS.md describes.

Changes to tests: both_domains (engine) failed in 1 of 8 runs, as its first job after the end came before the other owner's heartbeat, 0 minions being the last report. It now asks again for up to a second, as the report travels.

--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use kernel::{BootClock, Clock, HashMap, Incarnation};
+use kernel::{BootClock, Clock, Domain, HashMap, Incarnation};
 use metrics::{Gauge, Metrics};
 use ownership::{Peers, Tokens, VmInfo};
 use schedule::{JobSpec, MinionInfo, Outcome};
@@ -144,6 +144,16 @@
         self.core.evacuations.load_full()
     }
 
+    /// Returns all failure domains of the site, each with whether it is being
+    /// evacuated.
+    pub fn evacuated_domains(&self) -> Vec<(Domain, bool)> {
+        let evacuations = self.core.evacuations.load();
+        let domains = self.core.cfg.domains.iter();
+        domains
+            .map(|d| (d.clone(), evacuations.contains(d)))
+            .collect()
+    }
+
     /// Replaces the register of minions.
     pub fn register(&self, minions: Vec<MinionInfo>) {
         self.core.register.store(Some(Arc::new(minions)));
--- a/components/engine/src/pages.rs
+++ b/components/engine/src/pages.rs
@@ -13,13 +13,49 @@
 use crate::control::Minions;
 use crate::engine::Engine;
 
-/// Serves the metrics in the Prometheus text format.
-#[derive(Debug, Clone)]
-pub struct MetricsPage(pub Arc<TextPage>);
+/// Serves the metrics in the Prometheus text format. A gauge with a label tells of
+/// each failure domain whether it is being evacuated.
+#[derive(Debug)]
+pub struct MetricsPage<M> {
+    /// Page of the engine's metrics.
+    pub page: Arc<TextPage>,
+    /// Engine whose evacuations are reported.
+    pub engine: Engine<M>,
+}
+
+impl<M> Clone for MetricsPage<M> {
+    fn clone(&self) -> MetricsPage<M> {
+        MetricsPage {
+            page: self.page.clone(),
+            engine: self.engine.clone(),
+        }
+    }
+}
+
+/// Name of the gauge of each domain.
+const DOMAIN_GAUGE: &str = "pomelopost_domain_evacuated";
+
+impl<M: Minions> MetricsPage<M> {
+    fn render(&self) -> String {
+        let mut text = self.page.render();
+        text.push_str(&format!(
+            "# HELP {DOMAIN_GAUGE} 1 while the failure domain is being evacuated, else 0.\n\
+             # TYPE {DOMAIN_GAUGE} gauge\n"
+        ));
+        for (domain, evacuated) in self.engine.evacuated_domains() {
+            // A backslash is the only character of a domain's name with a meaning
+            // in a label.
+            let label = domain.as_str().replace('\\', "\\\\");
+            let value = u8::from(evacuated);
+            text.push_str(&format!("{DOMAIN_GAUGE}{{domain=\"{label}\"}} {value}\n"));
+        }
+        text
+    }
+}
 
-impl Handler for MetricsPage {
+impl<M: Minions> Handler for MetricsPage<M> {
     async fn handle(&self, _req: Request<Incoming>) -> Response<Full<Bytes>> {
-        let mut res = Response::new(Full::new(Bytes::from(self.0.render())));
+        let mut res = Response::new(Full::new(Bytes::from(self.render())));
         let kind = HeaderValue::from_static("text/plain; version=0.0.4");
         res.headers_mut().insert(CONTENT_TYPE, kind);
         res
--- a/components/engine/tests/evacuation.rs
+++ b/components/engine/tests/evacuation.rs
@@ -4,19 +4,22 @@
 mod common;
 
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use common::{Site, config, eventually, free_port, job, model, serve};
-use engine::{Engine, EngineConfig, Evacuations, Outcome};
+use engine::{Engine, EngineConfig, Evacuations, MetricsPage, Outcome};
+use http_body_util::Full;
+use hyper::Request;
 use kernel::{Domain, Millis, Offset};
-use metrics::{Count, Gauge};
+use metrics::{Count, Gauge, TextPage};
 use ownership::{Heartbeat, Report, VmInfo};
 use proptest::prelude::*;
 use schedule::JobSpec;
 use serde::Serialize;
 use tokio::runtime::Builder;
 use tokio::task::JoinHandle;
-use wire::{decode, encode};
+use wire::{Client, PoolLimits, Server, ServerLimits, TcpConnect, decode, encode};
 
 /// The domain that the tests evacuate; its minions' names begin with `n`.
 const NADI: &str = "nadi-b";
@@ -260,7 +263,13 @@
     for vm in [&nadi, &suva] {
         vm.evacuate(&state(8, &[NADI]));
     }
-    assert_serves(&nadi, 2..6).await;
+    // The end reaches the other VM with the owner's next heartbeat.
+    let until = Instant::now() + Duration::from_secs(1);
+    while nadi.submit(job(2, 2, 20)).await != Outcome::Completed {
+        assert!(Instant::now() < until, "not served after the end");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_serves(&nadi, 3..6).await;
     assert_eq!(site.starts_on("n"), 0);
     assert_eq!(site.violations(), []);
 }
@@ -297,6 +306,35 @@
     assert_eq!(nadi.metrics().gauge(Gauge::DomainsEvacuated), 0);
 }
 
+/// Fails if the metrics page does not tell of each domain whether it is evacuated.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn metrics_page() {
+    let site = two_domains(1, 1);
+    let vm = start(1, free_port(), NADI, &site).await;
+    vm.evacuate(&state(7, &[NADI, "lautoka-c"]));
+    let page = MetricsPage {
+        page: Arc::new(TextPage::new(vm.metrics()).unwrap()),
+        engine: vm,
+    };
+    let any = "127.0.0.1:0".parse().unwrap();
+    let server = Server::bind(any, ServerLimits::default()).await.unwrap();
+    let addr = server.addr().unwrap();
+    tokio::spawn(server.serve(page));
+    let client = Client::new(TcpConnect, PoolLimits::default());
+    let request = Request::get("/metrics").header("host", "vm");
+    let request = request.body(Full::default()).unwrap();
+    let reply = client.call(addr, request, Duration::from_secs(5)).await;
+    let text = String::from_utf8(reply.unwrap().body.to_vec()).unwrap();
+    let gauges = text
+        .lines()
+        .filter(|l| l.starts_with("pomelopost_domain_evacuated"));
+    let expected = [
+        "pomelopost_domain_evacuated{domain=\"nadi-b\"} 1",
+        "pomelopost_domain_evacuated{domain=\"suva-a\"} 0",
+    ];
+    assert_eq!(gauges.collect::<Vec<_>>(), expected);
+}
+
 /// Fails if a state with more domains than a site can have is kept and passed on.
 #[tokio::test]
 async fn too_many_domains() {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -63,6 +63,9 @@
     Job(JobCommand),
     /// Show the fleet as its VMs see it.
     Status(StatusArgs),
+    /// Show which failure domains the VMs on the users' platform evacuate, from the
+    /// metrics at the addresses of `--vm`.
+    Evacuations,
     /// Show what happened, merged from the event rings of all VMs.
     Timeline(TimelineArgs),
     /// Send an open-loop load and measure each response from the job's intended
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 //! ([`serve`]).
 
 pub mod completions;
+pub mod evacuations;
 pub mod experiment;
 pub mod faults;
 pub mod job;
@@ -40,6 +41,7 @@
         Command::Experiment(args) => experiment::run(&args).await,
         Command::Job(command) => job::run(&Fleet::discover(&ctl.fleet).await?, command).await,
         Command::Status(args) => status::run(&Fleet::discover(&ctl.fleet).await?, &args).await,
+        Command::Evacuations => evacuations::run(&Fleet::discover(&ctl.fleet).await?).await,
         Command::Timeline(args) => timeline::run(&Fleet::discover(&ctl.fleet).await?, args).await,
         Command::Load(args) => load::run(&Fleet::discover(&ctl.fleet).await?, args).await,
     }
--- a/src/error.rs
+++ b/src/error.rs
@@ -21,6 +21,10 @@
     Status(StatusCode),
     /// The answer is not the expected JSON.
     Json(serde_json::Error),
+    /// The answer is not text.
+    Text(std::string::FromUtf8Error),
+    /// The answer lacks the expected metrics.
+    Metrics,
 }
 
 impl fmt::Display for RequestError {
@@ -29,6 +33,8 @@
             RequestError::Call(e) => write!(f, "{e}"),
             RequestError::Status(status) => write!(f, "answered {status}"),
             RequestError::Json(e) => write!(f, "answered invalid JSON: {e}"),
+            RequestError::Text(e) => write!(f, "answered invalid text: {e}"),
+            RequestError::Metrics => write!(f, "answered without the expected metrics"),
         }
     }
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -142,6 +142,21 @@
         serde_json::from_slice(&reply.body).map_err(RequestError::Json)
     }
 
+    /// Fetches text from one address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no answer arrives in time, or when it is not status 200 with
+    /// UTF-8 text.
+    pub async fn get_text(&self, addr: SocketAddr, path: &str) -> Result<String, RequestError> {
+        let req = request(Method::GET, path, Bytes::new());
+        let reply = self.send(addr, req, self.timeout).await?;
+        if reply.status != StatusCode::OK {
+            return Err(RequestError::Status(reply.status));
+        }
+        String::from_utf8(reply.body.to_vec()).map_err(RequestError::Text)
+    }
+
     /// Fetches JSON from all VMs concurrently.
     pub async fn get_all<T: DeserializeOwned>(
         &self,
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -21,6 +21,8 @@
 struct Vm {
     /// Status as JSON.
     status: String,
+    /// Metrics as text.
+    metrics: String,
     /// Recorder of events for the time line.
     recorder: Arc<Recorder<ManualClock>>,
     /// Status code and body of the answer to a submission.
@@ -31,6 +33,7 @@
     async fn handle(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         let query = req.uri().query().unwrap_or_default();
         let (status, body) = match (req.method(), req.uri().path()) {
+            (&Method::GET, "/metrics") => (StatusCode::OK, self.metrics.clone()),
             (&Method::GET, "/v1/status") => (StatusCode::OK, self.status.clone()),
             (&Method::GET, "/v1/timeline") => {
                 let filter: Filter = query.parse().unwrap();
@@ -74,6 +77,7 @@
 fn vm(name: &str, sheet: u64, mode: &str) -> Vm {
     Vm {
         status: status(name, sheet, mode),
+        metrics: String::new(),
         recorder: recorder(name, 64),
         answer: (StatusCode::OK, r#"{"outcome":"complete","answers":[]}"#),
     }
@@ -232,3 +236,48 @@
         assert_eq!(output.status.code(), Some(1), "{args:?}");
     }
 }
+
+/// Returns the metrics of a VM that knows these evacuations.
+fn metrics_of(offset: u64, domains: &[(&str, u8)]) -> String {
+    let mut text = format!("pomelopost_shards_owned 1\npomelopost_evacuations_offset {offset}\n");
+    for (name, value) in domains {
+        text.push_str(&format!(
+            "pomelopost_domain_evacuated{{domain=\"{name}\"}} {value}\n"
+        ));
+    }
+    text
+}
+
+/// Fails if the operator can't see that a VM lags behind, or which domains are
+/// evacuated.
+#[tokio::test]
+async fn evacuated_domains() {
+    let serve_metrics = async |metrics: String| {
+        serve(Vm {
+            metrics,
+            ..vm("a/vm-1", 9, "normal")
+        })
+        .await
+    };
+    let both = [("nadi-b", 1), ("suva-a", 0)];
+    let one = serve_metrics(metrics_of(7, &both)).await;
+    let two = serve_metrics(metrics_of(7, &both)).await;
+    let output = pomeloctl(&[one, two], &["evacuations"]).await;
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    let table = stdout(&output);
+    assert_eq!(table.matches("nadi-b").count(), 2, "{table}");
+    assert!(!table.contains("suva-a"), "{table}");
+    let late = serve_metrics(metrics_of(6, &[("nadi-b", 0)])).await;
+    let output = pomeloctl(&[one, late], &["evacuations"]).await;
+    assert_eq!(output.status.code(), Some(1));
+    let table = stdout(&output);
+    assert!(table.contains("6 lags"), "{table}");
+    assert!(table.contains("none"), "{table}");
+    // A VM whose page has no such metrics, and one that can't be reached.
+    let earlier = serve_metrics(String::new()).await;
+    for addr in [earlier, unused_addr()] {
+        let output = pomeloctl(&[one, addr], &["evacuations"]).await;
+        assert_eq!(output.status.code(), Some(1));
+        assert!(stderr(&output).contains("not reached"));
+    }
+}
--- a/tests/walks.rs
+++ b/tests/walks.rs
@@ -9,7 +9,7 @@
 use futures::future::{Either, select};
 use kernel::Millis;
 use platform_standin::{Answer, Caller, Job};
-use soak::{Shape, Site, lasting_queue};
+use soak::{Fault, Shape, Site, lasting_queue};
 use standins::Work;
 
 const PAGE: &str = include_str!("../docs/OPERATIONS.md");
@@ -158,6 +158,38 @@
     scenario.assert_finds(3, &lines).await;
 }
 
+/// Fails if the operator can't see in the logs that an evacuation is in force and
+/// why a job was refused meanwhile, or that it has ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn evacuated_domain() {
+    let lines = ["evacuated domains changed", "evacuation in force"];
+    assert_named("Evacuating a failure domain", &lines);
+    let mut scenario = Scenario::start("evacuated").await;
+    let fault = Fault::Evacuate(0);
+    scenario.site.begin(fault, Millis(0), 0).await.unwrap();
+    await_lines(&scenario, &lines).await;
+    let refused = Answer::Refused(Some(Millis(1_000)));
+    assert_eq!(scenario.submit(0, 4, 1, work(30)).await, refused);
+    scenario.assert_finds(4, &["\"answer\":\"Refused"]).await;
+    scenario.site.end(fault).await.unwrap();
+    await_lines(&scenario, &["evacuation ended"]).await;
+    assert_eq!(scenario.submit(0, 5, 1, work(30)).await, Answer::Completed);
+}
+
+/// Waits until the logs of the VMs together contain each line.
+async fn await_lines(scenario: &Scenario, lines: &[&str]) {
+    let deadline = Instant::now() + TIMEOUT;
+    loop {
+        let logs = (0..2).map(|vm| scenario.folder.join(format!("vm-{vm}.log")));
+        let text: String = logs.map(|l| std::fs::read_to_string(l).unwrap()).collect();
+        if lines.iter().all(|line| text.contains(line)) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "{lines:?} not all in the logs");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Returns the index of the VM that owns the shard, according to the logs.
 async fn find_owner(scenario: &Scenario) -> usize {
     let owns = |vm: usize| {
