Accept requests before the first owner when all VMs start

Cause: a VM was not ready until it knew an owner. A balancer that probes once a second notices that up to a second later, so that clients found no VM although jobs are kept for the first owner. A request before the configuration was refused with a retry time of a second, while the configuration arrives within some ten milliseconds.

When all VMs start (the test of a cold start in ownership), a VM with a configuration is ready in its first second. It is not when it hears nobody and may be cut off.

--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use kernel::{BootClock, Clock, HashMap, Incarnation};
+use kernel::{BootClock, Clock, HashMap, Incarnation, Millis};
 use metrics::{Gauge, Metrics};
 use ownership::{Peers, Tokens, VmInfo};
 use schedule::{JobSpec, MinionInfo, Outcome};
@@ -29,6 +29,10 @@
 /// register so that they can take a shard while the store is unavailable.
 const STANDBYS: usize = 1;
 
+/// Interval at which a request that waits for the first configuration checks for
+/// it.
+const CONFIGURATION_POLL: Millis = Millis(10);
+
 /// Error that prevents an engine from starting.
 #[derive(Debug)]
 pub enum StartError {
@@ -151,9 +155,37 @@
     }
 
     /// Returns whether this VM should receive requests: it has a configuration,
-    /// knows an owner of minions, and is not stopping.
+    /// knows an owner of minions, and is not stopping. When all VMs start, it
+    /// receives them before the first owner is known and keeps the jobs: a
+    /// balancer that probes once a second would notice the owner up to a second
+    /// late.
     pub fn ready(&self) -> bool {
-        !self.stopping() && self.core.configuration.load().is_some() && self.knows_owner()
+        let configured = self.core.configuration.load().is_some();
+        let serves = self.knows_owner() || self.starts_with_others();
+        !self.stopping() && configured && serves
+    }
+
+    /// Returns whether all VMs seem to be starting and this one keeps jobs until
+    /// there is an owner.
+    fn starts_with_others(&self) -> bool {
+        let now = self.core.now();
+        let peers = self.core.peers();
+        peers.starting(now) && peers.is_cold_start(now)
+    }
+
+    /// Returns the configuration in force. A VM that has just started waits for
+    /// it, for at most `limit`: it arrives within some ten milliseconds, while a
+    /// refused client returns a second later.
+    pub async fn first_configuration(&self, limit: Millis) -> Option<Arc<Configuration>> {
+        let until = self.core.now().after(limit);
+        loop {
+            let held = self.configuration();
+            let now = self.core.now();
+            if held.is_some() || now >= until || !self.core.peers().starting(now) {
+                return held;
+            }
+            tokio::time::sleep(CONFIGURATION_POLL.duration()).await;
+        }
     }
 
     /// Returns whether this VM knows the owner of at least one shard.
--- a/components/ownership/src/cold_start.rs
+++ b/components/ownership/src/cold_start.rs
@@ -57,7 +57,7 @@
     /// Returns whether all VMs seem to be starting, unless an owner is known:
     /// other VMs have been heard, and the answers of running ones, which report
     /// the owners that they know, would have arrived.
-    fn is_cold_start(&self, now: Timestamp) -> bool {
+    pub fn is_cold_start(&self, now: Timestamp) -> bool {
         let heard = self.peers.values().filter(|p| p.info.is_some()).count();
         let enough = heard >= HEARD.min(self.peers.len());
         let answered = |at| now.since(at) >= self.cfg.answer_time;
