Answer "unknown" to a submission that arrives while its job is being refused

Cause: before a VM refuses a bare key that it does not own, it asks its peers (confirm), which takes up to 300 ms. A submission of the same key that arrived meanwhile attached to the run and got the same "not run", which rests on statements older than the submission. A peer that had answered "free" can have claimed and run the job before that submission was even sent. Found by reading while false_not_run was traced; no trace was seen to fail for this reason.

Change: a submission that finds its run already being refused is told "unknown" (log_away) with a time to come back.

Conclusion: a false "not run" is mended.

--- a/components/entry/src/submit.rs
+++ b/components/entry/src/submit.rs
@@ -147,6 +147,11 @@
             tokio::spawn(drive(core.clone(), run.clone()));
             Ok(run)
         }
+        // The refusal may already rest on the statements of peers that were made
+        // before this submission, and a peer may have started the job since.
+        EnterResult::Running(run) if run.is_refused() => {
+            Err(EnterError::Answered(Outcome::Unknown(Reason::LogAway)))
+        }
         EnterResult::Running(run) => {
             core.note(Note::new(EventKind::JobAttached).job(&spec.key));
             Ok(run)
--- a/components/entry/tests/at_most_once.rs
+++ b/components/entry/tests/at_most_once.rs
@@ -11,6 +11,7 @@
 use kernel::Millis;
 use logstore::{HttpPlatform, Platform, Stream};
 use serde_json::Value;
+use standins::Hops;
 use wire::{Client, PoolLimits, TcpConnect};
 
 const KEY_KINDS: [&str; 2] = ["bare", "ticket"];
@@ -337,6 +338,48 @@
     assert_started_once(&fleet, "bare", 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_elsewhere() {
+    // Guards against a "not run" for a job that another VM has received but not
+    // started: that VM starts it as soon as its claim is read back.
+    let fleet = Fleet::start(2, 1).await;
+    fleet.platform.slow(Duration::from_millis(400));
+    let other = async {
+        fleet.until(0, |s| s["running"] == 1).await;
+        fleet.post(1, "bare", &common::job(&[10], 50)).await
+    };
+    let (first, other) = tokio::join!(fleet.submit(0, "bare", &[10]), other);
+    assert_uncertain(&other);
+    assert_eq!(other.1["reason"], "deadline", "{other:?}");
+    assert_eq!(first.0, 200, "{first:?}");
+    assert_started_once(&fleet, "bare", 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn late_submission() {
+    // Guards against a "not run" that rests on statements older than the
+    // submission: a near peer starts the job after it was asked, while the VM
+    // still waits for a distant peer's statement on an earlier submission.
+    let fleet = Fleet::start_in(&["b", "b", "c"]).await;
+    for (n, vm) in [(1, "b/vm-1"), (2, "c/vm-2")] {
+        fleet.net.partition(vm, "platform", true);
+        fleet.until(n, |s| s["log"] == "away").await;
+    }
+    fleet.net.delay(Hops {
+        domains: Duration::from_millis(60),
+        ..Hops::default()
+    });
+    let later = async {
+        fleet.until(1, |s| s["running"] == 1).await;
+        let ran = fleet.submit(0, "bare", &[10]).await;
+        assert_eq!(ran.0, 200, "{ran:?}");
+        fleet.submit(1, "bare", &[10]).await
+    };
+    let (_, later) = tokio::join!(fleet.submit(1, "bare", &[10]), later);
+    assert_uncertain(&later);
+    assert_started_once(&fleet, "bare", 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn batched_claims() {
     let fleet = Fleet::start(2, 1).await;
