Judge "not run" by the time between the refused request and its answer

Cause: the check asked for a submission sent after the answer. No VM can know of a request that is still on its way to another one, and the key of such a refusal is free by contract.

That a VM says "not run" although another one has the job in its table is excluded by a test (waiting_elsewhere), not by the traces. Considered and rejected: peers that hold a key back for a while after they were asked. Any such time is too short for some request, and delays the ordinary resubmission.

The check counts a refusal as false unless an attempt sent after the refused one, and before the start, can have caused each start. It is stricter than before in one point: an attempt that was itself told "not run" explains no start. What it no longer sees, a job that another VM received after the refused request was sent and ignored when asked, is tested by waiting_elsewhere and late_submission.

Tests: sent_meanwhile, sent_before and refused_twice (new) guard the rule in both directions; ran_before, ran_later and true_not_run stay as they are.

--- a/components/replay/src/summary.rs
+++ b/components/replay/src/summary.rs
@@ -29,8 +29,8 @@
     pub partial_answers: u64,
     /// Answers that belong to another job or have tasks in the wrong order.
     pub wrong_answers: u64,
-    /// Submissions answered "not run" although a task of the job had started, or
-    /// started later without a submission after that answer.
+    /// Submissions answered "not run" although a task of the job was started, and
+    /// no attempt sent after the refused one can have caused that start.
     pub false_not_run: u64,
     /// Task starts on minions that had been leaving for more than 2 s.
     pub late_starts_on_leaving: u64,
--- a/components/replay/src/tally.rs
+++ b/components/replay/src/tally.rs
@@ -72,40 +72,47 @@
     best
 }
 
-/// Counts the submissions answered "not run" whose job had run by then, or ran
-/// later without having been submitted again.
+/// Counts the submissions answered "not run" although an attempt sent earlier,
+/// or none at all, accounts for a start of their job.
 fn false_not_run(subs: &[Submission], starts: &[Start]) -> u64 {
     untrue_refusals(subs, starts).len() as u64
 }
 
 /// Returns the submissions that [`Summary::false_not_run`] counts.
+///
+/// "Not run" is true of a moment between the request and its answer
+/// (docs/API.md#outcomes). A start is therefore consistent with it only if
+/// another attempt, sent after the refused one and before the start, can have
+/// caused it. An attempt that was itself answered "not run" causes no start.
 pub fn untrue_refusals<'a>(subs: &'a [Submission], starts: &[Start]) -> Vec<&'a Submission> {
     let mut started: HashMap<&str, Vec<Instant>> = HashMap::default();
     for start in starts {
         started.entry(&start.job).or_default().push(start.at);
     }
-    let mut sent: HashMap<&str, Vec<Instant>> = HashMap::default();
+    let mut running: HashMap<&str, Vec<Instant>> = HashMap::default();
     for sub in subs {
-        let times = sub.attempts.iter().map(|a| a.sent);
-        sent.entry(&sub.key).or_default().extend(times);
+        let may_run = sub.attempts.iter().filter(|a| !is_refusal(a));
+        let times = may_run.map(|a| a.sent);
+        running.entry(&sub.key).or_default().extend(times);
     }
-    let is_false = |key: &str, answered: Instant| {
-        let sent = sent.get(key).map_or(&[][..], Vec::as_slice);
-        let is_resubmitted = |start: Instant| sent.iter().any(|s| answered < *s && *s < start);
+    let is_false = |key: &str, refused: &Attempt| {
+        let sent = running.get(key).map_or(&[][..], Vec::as_slice);
+        let is_later = |start: Instant| sent.iter().any(|s| refused.sent < *s && *s < start);
         let mut starts = started.get(key).into_iter().flatten();
-        starts.any(|start| !is_resubmitted(*start))
-    };
-    let not_run_at = |a: &Attempt| match &a.end {
-        Some((at, End::Told(Answer::NotRun, _))) => Some(*at),
-        _ => None,
+        starts.any(|start| !is_later(*start))
     };
     let is_untrue = |s: &&Submission| {
-        let mut times = s.attempts.iter().filter_map(not_run_at);
-        times.any(|at| is_false(&s.key, at))
+        let mut refusals = s.attempts.iter().filter(|a| is_refusal(a));
+        refusals.any(|a| is_false(&s.key, a))
     };
     subs.iter().filter(is_untrue).collect()
 }
 
+/// Returns whether an attempt was answered "not run".
+fn is_refusal(attempt: &Attempt) -> bool {
+    matches!(attempt.end, Some((_, End::Told(Answer::NotRun, _))))
+}
+
 /// Returns the submissions that planned stops cut off.
 pub fn cut_offs<'a>(subs: &'a [Submission], stops: &[(VmId, Instant)]) -> Vec<&'a Submission> {
     subs.iter().filter(|s| is_cut_off(s, stops)).collect()
--- a/components/replay/tests/tally.rs
+++ b/components/replay/tests/tally.rs
@@ -99,6 +99,59 @@
     assert_eq!(summary.violations(), ["false_not_run"]);
 }
 
+#[test]
+fn sent_meanwhile() {
+    // Guards against a violation that is counted although the promise held: no VM
+    // can know of a submission that is still on its way to another VM.
+    let clock = Clock(Instant::now());
+    let refused = clock.attempt(0, Some((100, answered(Answer::NotRun, "log_away"))));
+    let ends = [
+        None,
+        Some((300, End::Lost)),
+        Some((300, answered(Answer::Complete, ""))),
+    ];
+    for end in ends {
+        let other = clock.attempt(95, end);
+        let subs = [
+            clock.submission(vec![refused.clone()]),
+            clock.submission(vec![other]),
+        ];
+        let count = |start| summarize(&subs, &clock.ledger(&[("0", start)])).false_not_run;
+        assert_eq!((count(120), count(97)), (0, 0));
+        assert_eq!(count(90), 1, "started before the other attempt was sent");
+    }
+}
+
+#[test]
+fn sent_before() {
+    // Guards against a refusal that ignores a job which another VM has had since
+    // before the refused submission.
+    let clock = Clock(Instant::now());
+    let other = clock.attempt(0, Some((300, answered(Answer::Complete, ""))));
+    let refused = clock.attempt(10, Some((100, answered(Answer::NotRun, "log_away"))));
+    let subs = [
+        clock.submission(vec![other]),
+        clock.submission(vec![refused]),
+    ];
+    let summary = summarize(&subs, &clock.ledger(&[("0", 120)]));
+    assert_eq!(summary.violations(), ["false_not_run"]);
+}
+
+#[test]
+fn refused_twice() {
+    // Guards against two untrue refusals that excuse each other.
+    let clock = Clock(Instant::now());
+    let refused = |sent| {
+        let end = (100, answered(Answer::NotRun, "log_away"));
+        clock.submission(vec![clock.attempt(sent, Some(end))])
+    };
+    let subs = [refused(0), refused(10)];
+    assert_eq!(
+        summarize(&subs, &clock.ledger(&[("0", 120)])).false_not_run,
+        2
+    );
+}
+
 #[test]
 fn double_start() {
     let clock = Clock(Instant::now());
