Let peers have the leases on a minion that an idle VM suspects

half_cancelled once ended with a 504 after 15 s on an idle fleet.

Cause: a VM counts no lease as free on a minion that it suspects, so it hands none of them over. Only an answer of a task clears the suspicion. A VM whose tasks on suspected minions are cancelled and that gets no more work keeps its leases for ever. Another VM without leases then waits until its deadlines pass, unless its budget of refusals lets it try a slot without a lease.

A minion becomes suspect when its tasks take six times the mean run time, here 1.2 to 1.8 s for tasks of 300 ms, as happens at a load of 18.

Ruled out: the waiter lost in fitting_slot, as its job is answered 409 at once and not 504 after its deadline; a queue that is not served, as every queue is served each 5 ms; a claim that is never decided, which ends as log_away.

Change: leases on a suspected or readmitted minion count as free while no task of the VM is there.

Tests: suspect_leases in routing (model) and in entry (VMs) guard against it.

--- a/components/entry/tests/held_limits.rs
+++ b/components/entry/tests/held_limits.rs
@@ -215,3 +215,28 @@
     assert!(closed <= fleet.ledger.count());
     assert_eq!(fleet.post(0, "after", &body).await.0, 200);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn suspect_leases() {
+    // Guards against a fleet that stays idle while tasks wait: the VM that holds
+    // all leases suspects the minions, has no task left that could clear them, and
+    // keeps the leases.
+    let fleet = Fleet::start(2, 2).await;
+    let long = job(&[10_000; 40], 20_000);
+    let cancel = async {
+        fleet.until_started("long", 16).await;
+        fleet
+            .until(1, |s| {
+                let minions = s["minions"].as_array().unwrap();
+                minions.iter().all(|m| m["mode"] == "suspect")
+            })
+            .await;
+        fleet.job_request(1, Method::DELETE, "long").await
+    };
+    let (cancelled, _) = tokio::join!(fleet.post(1, "long", &long), cancel);
+    assert_eq!(cancelled.0, 409, "{cancelled:?}");
+    until_idle(&fleet).await;
+    let after = fleet.post(0, "after", &job(&[50; 4], 5000)).await;
+    assert_eq!(after.0, 200, "{after:?}");
+    until_idle(&fleet).await;
+}
--- a/components/routing/src/lease.rs
+++ b/components/routing/src/lease.rs
@@ -187,13 +187,20 @@
     }
 }
 
-/// Returns the number of leases on a minion that no task uses.
+/// Returns the number of leases on a minion that no task uses. On a minion that
+/// is not in normal mode a task of this VM keeps the other leases back, as this
+/// VM can't use them. Without such a task nothing here would clear the minion, so
+/// the leases must be free for peers, which may see it as healthy.
 fn free_leases(node: &Node, now: Timestamp) -> u32 {
-    if node.info.leaving || node.state.mode() != Mode::Normal || closed_until(node) > now {
+    if node.info.leaving || closed_until(node) > now {
+        return 0;
+    }
+    let own = node.state.in_flight.count();
+    if node.state.mode() != Mode::Normal && own > 0 {
         return 0;
     }
     let lease = node.state.lease.load(Ordering::Relaxed);
-    lease.saturating_sub(node.state.in_flight.count())
+    lease.saturating_sub(own)
 }
 
 /// Adds the grants that a VM got since its last digest to that digest.
--- a/components/routing/tests/leases.rs
+++ b/components/routing/tests/leases.rs
@@ -5,7 +5,7 @@
 
 use common::*;
 use proptest::prelude::*;
-use routing::{Balanced, Digest, Fleet, RoutingConfig};
+use routing::{Balanced, Digest, Fleet, Mode, RoutingConfig};
 
 const VMS: usize = 3;
 const MINIONS: usize = 5;
@@ -156,3 +156,35 @@
         "this VM has leases for a waiting peer"
     );
 }
+
+#[test]
+fn suspect_leases() {
+    // Guards against leases that stay for ever with a VM which suspects their
+    // minion and has no task left that could clear the suspicion.
+    let fleets = fleets();
+    let mut now = 0;
+    let mut round = |times: u64| {
+        for _ in 0..times * VMS as u64 {
+            now += 30;
+            send_digest(&fleets, (now / 30) as usize % VMS, now, |_| false);
+        }
+        now
+    };
+    round(1);
+    let mut slots = Vec::new();
+    fleets[1].set_waiting(&service(), 100);
+    for _ in 0..30 {
+        let at = round(1);
+        slots.extend(std::iter::from_fn(|| take(&fleets[1], at).ok()));
+    }
+    assert_eq!(slots.len(), 8 * MINIONS);
+    fleets[1].set_waiting(&service(), 0);
+    // The tasks run so long that all minions become suspect, then they are
+    // cancelled.
+    round(100);
+    assert!(fleets[1].status().iter().all(|m| m.mode == Mode::Suspect));
+    drop(slots);
+    fleets[0].set_waiting(&service(), 4);
+    let at = round(30);
+    assert!(take(&fleets[0], at).is_ok(), "no lease came back");
+}
