Test of division, handover and union during an evacuation

Change: divided_and_united in engine/tests/evacuation.rs.

Without running tasks the test does not get as far as a division, with or without an evacuation: the owner of an idle shard unites the halves in the round in which it has divided them, as is_crowded counts no held minions of the new halves and the minions move at once. Not changed here, as ownership/plan.rs is another part's.

Conclusion: the new owners of halves and of the whole apply the evacuation.

--- a/components/engine/tests/evacuation.rs
+++ b/components/engine/tests/evacuation.rs
@@ -274,6 +274,48 @@
     assert_eq!(site.violations(), []);
 }
 
+/// Fails if a shard takes work after it was divided, handed over and united while
+/// its domain is being evacuated.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn divided_and_united() {
+    let site = two_domains(16, 0);
+    let port = free_port();
+    let sized = async |number, room| {
+        let mut cfg = vm_config(number, port, NADI);
+        cfg.domains = vec![domain(NADI)];
+        cfg.room = room;
+        cfg.share = room * 10;
+        cfg.ownership.settle_time = Millis(600);
+        serve(cfg, site.clone(), &site).await
+    };
+    let first = sized(1, 8).await;
+    eventually("minions held", || {
+        first.metrics().gauge(Gauge::MinionsHeld) == 16
+    })
+    .await;
+    let running = submit(&first, job(100, 32, 2_500));
+    eventually("tasks run", || site.running() == 32).await;
+    first.evacuate(&state(7, &[NADI]));
+    let second = sized(2, 8).await;
+    eventually("divided among both", || first.owns() && second.owns()).await;
+    assert!(is_evacuated(&second));
+    let large = sized(3, 100).await;
+    eventually("one shard on the large VM", || {
+        large.metrics().gauge(Gauge::ShardsOwned) == 1 && !first.owns() && !second.owns()
+    })
+    .await;
+    assert!(is_evacuated(&large));
+    assert_eq!(running.await.unwrap(), Outcome::Completed);
+    for (number, vm) in [&first, &second, &large].into_iter().enumerate() {
+        let outcome = vm.submit(job(number as u64, 2, 20)).await;
+        assert!(matches!(outcome, Outcome::Refused { .. }), "{outcome:?}");
+    }
+    assert_eq!(site.starts(), 32);
+    large.evacuate(&state(8, &[]));
+    assert_serves(&large, 10..12).await;
+    assert_eq!(site.violations(), []);
+}
+
 /// Fails if VMs that all start during an evacuation start tasks in the domain
 /// although one of them reaches the store.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
