--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -13,6 +13,7 @@
 mod engine;
 mod evacuation;
 mod first_jobs;
+mod first_reads;
 mod handover;
 mod here;
 mod model;
