--- a/components/wire/tests/link.rs
+++ b/components/wire/tests/link.rs
@@ -26,6 +26,22 @@
     assert!(link.reserve(10_000) < Duration::from_millis(1));
 }
 
+/// Fails if a link that sends half of the time counts as idle: holds that time out
+/// behind the starts of wide jobs would be shortened and repeated into it.
+#[test]
+fn busy_link() {
+    let link = slow();
+    assert!(!link.is_busy());
+    link.reserve(60_000);
+    assert!(link.usage() > 0.4, "{}", link.usage());
+    assert!(link.is_busy());
+    assert!(link.burst_time() > Duration::from_millis(60));
+    let fast = Link::new(BitRate(200_000_000));
+    fast.reserve(60_000);
+    assert!(!fast.is_busy());
+    assert!(fast.burst_time() < Duration::from_millis(1));
+}
+
 #[tokio::test]
 async fn own_turn() {
     let link = slow();
