Retry-After of a cold start is when room is expected

Cause: an owner that holds a few of its minions so far computes the retry time from these, so that clients were told to return after some seconds while the other minions were held within the next half second.

A VM in its first second limits the retry time of a refusal for lack of room to one second while owners hold less than nine tenths of the listed minions. A `Retry-After` is in whole seconds, so less has no effect. Refusals because no minion can run the job keep their minute.

--- a/components/engine/src/first_jobs.rs
+++ b/components/engine/src/first_jobs.rs
@@ -4,8 +4,8 @@
 
 use std::sync::atomic::Ordering;
 
-use kernel::Timestamp;
-use schedule::JobSpec;
+use kernel::{Millis, Timestamp};
+use schedule::{JobSpec, Outcome};
 
 use crate::core::Core;
 use crate::owned::Owned;
@@ -19,6 +19,37 @@
 /// listed ones may have died with the VMs.
 const MOST_MINIONS: f64 = 0.9;
 
+/// Retry time in refusals while owners are still taking their minions: by then
+/// they hold them, and a client's `Retry-After` is in whole seconds.
+const TAKING_RETRY: Millis = Millis(1_000);
+
+/// Retry time from which on a refusal is not for lack of room: no minion can run
+/// the job.
+const UNSERVABLE_RETRY: Millis = Millis(60_000);
+
+/// Returns whether owners hold so many of the listed minions that no more room is
+/// expected.
+fn complete<M>(core: &Core<M>, held: f64) -> bool {
+    let register = core.register.load();
+    let listed = register.as_ref().map(|all| all.len() as f64);
+    listed.is_some_and(|listed| held >= listed * MOST_MINIONS)
+}
+
+/// Returns a refusal with the time until room is expected. The owner counts only
+/// the minions that it holds, so its retry time is too long while it takes the
+/// others. `starting` tells whether this VM had just started when the job came.
+pub(crate) fn soon<M>(core: &Core<M>, refused: Outcome, starting: bool) -> Outcome {
+    match refused {
+        Outcome::Refused { retry }
+            if starting && retry < UNSERVABLE_RETRY && !complete(core, held_minions(core)) =>
+        {
+            let retry = retry.min(TAKING_RETRY);
+            Outcome::Refused { retry }
+        }
+        other => other,
+    }
+}
+
 /// Returns the latest time at which a job can begin to run and still end before
 /// its caller leaves.
 pub(crate) fn latest_begin(spec: &JobSpec, start: Timestamp) -> Timestamp {
@@ -36,12 +67,11 @@
     loop {
         let now = core.now();
         let held = held_minions(core);
-        let complete = listed.is_some_and(|listed| held >= listed * MOST_MINIONS);
         let step = listed.unwrap_or(before) * OFFER_STEP;
         if held > before && held >= before + step {
             return now < latest;
         }
-        if !core.peers().starting(now) || now >= latest || complete {
+        if !core.peers().starting(now) || now >= latest || complete(core, held) {
             return false;
         }
         tokio::time::sleep(OWNER_POLL.duration()).await;
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -13,7 +13,7 @@
 use crate::calls::{JobAction, JobCall, JobReply, call_job};
 use crate::control::Minions;
 use crate::core::{Core, lock};
-use crate::first_jobs::{await_minions, latest_begin};
+use crate::first_jobs::{await_minions, latest_begin, soon};
 use crate::here::{resume_local, run_local};
 use crate::owned::Ending;
 use crate::route::{self, Candidate};
@@ -132,6 +132,7 @@
         retry: NO_OWNER_RETRY,
     };
     let mut tried: Vec<Shard> = Vec::new();
+    let began = core.peers().starting(start);
     await_owner(core, &spec, start).await;
     while tried.len() < MAX_SHARDS {
         let left = remaining(&spec, start, core.now());
@@ -154,7 +155,7 @@
             tried.clear();
         }
     }
-    refused
+    soon(core, refused, began)
 }
 
 /// Error of a job that was not started, because the VM that was asked could not
--- a/components/engine/tests/first_room.rs
+++ b/components/engine/tests/first_room.rs
@@ -49,6 +49,23 @@
     assert_eq!(site.violations(), []);
 }
 
+#[tokio::test]
+async fn soon_retry() {
+    // The owner of one minion would tell the client to return after 3 s.
+    let site = Site::new(&[14; 10]);
+    let minions = SlowHolds(site.clone(), Instant::now());
+    let a = serve(config(1, free_port()), minions, &site).await;
+    let spec = JobSpec {
+        timeout: Millis(920),
+        objective: Millis(920),
+        ..job(1, 10, 300)
+    };
+    match a.submit(spec).await {
+        Outcome::Refused { retry } => assert!(retry <= Millis(1_000), "{retry}"),
+        other => panic!("{other:?}"),
+    }
+}
+
 #[tokio::test]
 async fn no_more_expected() {
     // The same job is refused when all minions are held and have no room in time.
