--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -13,7 +13,7 @@
 use crate::calls::{JobAction, JobCall, JobReply, call_job};
 use crate::control::Minions;
 use crate::core::{Core, lock};
-use crate::first_jobs::{await_minions, latest_begin};
+use crate::first_jobs::{await_minions, latest_begin, soon};
 use crate::here::{resume_local, run_local};
 use crate::owned::Ending;
 
@@ -164,13 +164,14 @@
 /// when owners hold more minions.
 async fn run_once<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Outcome {
     let start = core.now();
+    let began = core.peers().starting(start);
     await_owner(core, &spec, start).await;
     loop {
         let outcome = offer(core, &spec, start).await;
         let refused = matches!(outcome, Outcome::Refused { .. });
         let starting = core.peers().starting(core.now());
         if !refused || !starting || !await_minions(core, &spec, start).await {
-            return outcome;
+            return soon(core, outcome, began);
         }
     }
 }
