--- a/components/engine/src/first_jobs.rs
+++ b/components/engine/src/first_jobs.rs
@@ -38,7 +38,7 @@
 /// Returns a refusal with the time until room is expected. The owner counts only
 /// the minions that it holds, so its retry time is too long while it takes the
 /// others. `starting` tells whether this VM had just started when the job came.
-pub(crate) fn soon<M>(core: &Core<M>, refused: Outcome, starting: bool) -> Outcome {
+pub(crate) fn shorten_retry<M>(core: &Core<M>, refused: Outcome, starting: bool) -> Outcome {
     match refused {
         Outcome::Refused { retry }
             if starting && retry < UNSERVABLE_RETRY && !complete(core, held_minions(core)) =>
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -13,7 +13,7 @@
 use crate::calls::{JobAction, JobCall, JobReply, call_job};
 use crate::control::Minions;
 use crate::core::{Core, lock};
-use crate::first_jobs::{await_minions, latest_begin, soon};
+use crate::first_jobs::{await_minions, latest_begin, shorten_retry};
 use crate::here::{resume_local, run_local};
 use crate::owned::Ending;
 
@@ -171,7 +171,7 @@
         let refused = matches!(outcome, Outcome::Refused { .. });
         let starting = core.peers().starting(core.now());
         if !refused || !starting || !await_minions(core, &spec, start).await {
-            return soon(core, outcome, began);
+            return shorten_retry(core, outcome, began);
         }
     }
 }
