Tests of an evacuation find a missing layer each

Cause: in trials with one layer of the enforcement removed, two went unnoticed by the tests: the state applied to a shard that is taken, accepted or divided, and the VM that leaves evacuated domains out of its choice. Each covered the other.

Change: lost_owner, handed_over and divided_and_united assert that the new owner reports no minions that accept work; owner_unaware submits through a VM that knows of the evacuation before the owner does.

--- a/components/engine/tests/evacuation.rs
+++ b/components/engine/tests/evacuation.rs
@@ -105,6 +105,18 @@
     vm.evacuations().contains(&domain(NADI))
 }
 
+/// Waits until a VM has owned one shard for some heartbeats, and asserts that it
+/// reports no minions that accept work there.
+async fn assert_reports_none(vm: &Engine<Site>) {
+    eventually("shard owned", || {
+        vm.metrics().gauge(Gauge::ShardsOwned) == 1
+    })
+    .await;
+    // The gauges are set every 500 ms, and minions are held within that time.
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(vm.metrics().gauge(Gauge::MinionsHeld), 0);
+}
+
 /// Fails if an owner that has lost the store right after the acknowledgement
 /// does not learn of the evacuation from a VM that has read it, or does not
 /// learn of its end.
@@ -154,6 +166,7 @@
         vm.evacuate(&state(7, &[NADI]));
     }
     eventually("shard taken over", || next.owns()).await;
+    assert_reports_none(&next).await;
     for number in 1..40 {
         next.submit(job(number, 2, 20)).await;
     }
@@ -177,6 +190,7 @@
     assert!(next.owns());
     assert!(is_evacuated(&next));
     assert_eq!(running.await.unwrap(), Outcome::Completed);
+    assert_reports_none(&next).await;
     assert_serves(&next, 2..6).await;
     assert_eq!(site.starts_on("n"), 2);
     assert_eq!(site.violations(), []);
@@ -305,6 +319,7 @@
     })
     .await;
     assert!(is_evacuated(&large));
+    assert_reports_none(&large).await;
     assert_eq!(running.await.unwrap(), Outcome::Completed);
     for (number, vm) in [&first, &second, &large].into_iter().enumerate() {
         let outcome = vm.submit(job(number as u64, 2, 20)).await;
@@ -332,6 +347,19 @@
     assert_eq!(site.violations(), []);
 }
 
+/// Fails if a VM that knows of the evacuation sends a job to an owner that does
+/// not know of it yet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn owner_unaware() {
+    let site = two_domains(2, 2);
+    let (nadi, suva, port) = pair(&site).await;
+    let other = start(3, port, NADI, &site).await;
+    await_peers(&other, [&nadi, &suva], 2).await;
+    other.evacuate(&state(7, &[NADI]));
+    assert_serves(&other, 1..4).await;
+    assert_eq!(site.starts_on("n"), 0);
+}
+
 /// Fails if the evacuation of a domain that the settings don't name has any
 /// effect.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
