--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -9,11 +9,12 @@
 use metrics::{Count, Gauge};
 use ownership::{Change, Claim, Heartbeat, Report, Shard};
 use rand::seq::IteratorRandom;
+use schedule::{EvidenceReport, REPORTED_PAIRS};
 use wire::{decode, encode};
 
 use crate::calls::{call_configuration, call_register};
 use crate::control::Minions;
-use crate::core::Core;
+use crate::core::{Core, lock};
 use crate::drive;
 use crate::handover;
 use crate::owned::{Ending, Owned, TakePolicy};
@@ -48,7 +49,7 @@
         };
         core.metrics.add(Count::HeartbeatReceived, 1);
         core.metrics.add(Count::HeartbeatBytesIn, size as u64);
-        let heartbeat = match decode::<Heartbeat>(&buffer[..size]) {
+        let mut heartbeat = match decode::<Heartbeat>(&buffer[..size]) {
             Ok(heartbeat) => heartbeat,
             Err(e) => {
                 log::warn!(error:% = e; "heartbeat could not be decoded");
@@ -57,6 +58,12 @@
         };
         let new = core.peers().is_new(&heartbeat.from);
         let from = heartbeat.from.addr;
+        let evidence = std::mem::take(&mut heartbeat.evidence);
+        let recorded = lock(&core.evidence).record(from, evidence, core.now());
+        if let Err(e) = recorded {
+            core.metrics.add(Count::EvidenceRefused, 1);
+            log::warn!(from:% = from, error:% = e; "reported run times refused");
+        }
         let changes = core.peers().receive(heartbeat, core.now());
         apply_changes(&core, changes);
         if new && from != core.cfg.peer_addr {
@@ -131,6 +138,12 @@
     metrics.set(Gauge::MinionsHeld, u64::from(minions));
     let free: f64 = loads.iter().map(|l| l.free).sum();
     metrics.set(Gauge::CoresFree, free as u64);
+    let contrasts = owned.values();
+    let contrasts = contrasts.filter_map(|o| o.lock().scheduler.speed_contrast());
+    let contrasts: Vec<_> = contrasts.collect();
+    metrics.set(Gauge::ShardsUneven, contrasts.len() as u64);
+    let contrast = contrasts.into_iter().fold(1.0, f64::max);
+    metrics.set(Gauge::SpeedContrast, (contrast * 100.0) as u64);
     metrics.set(Gauge::PeersLive, core.peers().alive(now).count() as u64);
 }
 
@@ -218,11 +231,42 @@
         false => TakePolicy::All,
     };
     let owned = Owned::new(shard.clone(), core.cfg.schedule.clone(), take_policy);
+    learn_run_times(core, &owned);
     install(core, &owned);
     drive::sync_register(core, &owned);
     owned
 }
 
+/// Gives a new owner's scheduler the run times that this VM and other owners have
+/// observed.
+pub(crate) fn learn_run_times<M>(core: &Core<M>, owned: &Owned) {
+    let now = core.now();
+    let mut reports = lock(&core.evidence).current(now);
+    let own = core.owned.load();
+    reports.extend(
+        own.values()
+            .map(|o| o.lock().scheduler.evidence_report(now)),
+    );
+    let pairs: usize = reports.iter().map(|r| r.pairs.len()).sum();
+    if pairs > 0 {
+        log::info!(shard:% = owned.shard(), reports = reports.len(), pairs = pairs;
+            "run times of other owners adopted");
+    }
+    let mut state = owned.lock();
+    for report in &reports {
+        state.scheduler.learn_report(report, now);
+    }
+}
+
+/// Returns the run times that this VM has observed, for other VMs.
+pub(crate) fn own_evidence<M>(core: &Core<M>, now: Timestamp) -> EvidenceReport {
+    let owned = core.owned.load();
+    let reports = owned
+        .values()
+        .map(|o| o.lock().scheduler.evidence_report(now));
+    EvidenceReport::sum(reports, REPORTED_PAIRS, now)
+}
+
 /// Adds a shard to those that this VM owns.
 pub(crate) fn install<M>(core: &Core<M>, owned: &Arc<Owned>) {
     core.metrics.add(Count::ShardTaken, 1);
@@ -278,6 +322,7 @@
         version: core.version(),
         reports: reports.collect(),
         known: peers.addrs().choose_multiple(&mut rand::rng(), known),
+        evidence: EvidenceReport::default(),
     }
 }
 
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -7,7 +7,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kernel::{BootClock, Clock, HashMap, Millis, Timestamp};
 use metrics::Metrics;
-use ownership::{Peers, Shard, Tokens};
+use ownership::{Peers, Reports, Shard, Tokens};
 use schedule::MinionInfo;
 use tokio::net::UdpSocket;
 use wire::{Client, TcpConnect};
@@ -37,6 +37,8 @@
     pub owned: ArcSwap<HashMap<Shard, Arc<Owned>>>,
     /// State of other VMs and of ownership.
     pub peers: Mutex<Peers>,
+    /// Run times that other owners have reported.
+    pub evidence: Mutex<Reports>,
     /// Generator of fencing tokens.
     pub tokens: Mutex<Tokens>,
     /// Number of jobs that each other VM runs for this one.
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -109,6 +109,7 @@
             register: ArcSwapOption::empty(),
             owned: ArcSwap::default(),
             peers: Mutex::new(peers),
+            evidence: Mutex::default(),
             tokens: Mutex::new(tokens),
             remote_jobs: Mutex::new(HashMap::default()),
             stopping: AtomicBool::new(false),
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -143,6 +143,7 @@
     log::info!(shard:% = shard, kept:% = kept, fresh:% = fresh; "shard divided");
     first.set_shard(kept.clone());
     let second = Owned::new(fresh.clone(), core.cfg.schedule.clone(), TakePolicy::All);
+    beats::learn_run_times(core, &second);
     core.owned.rcu(|all| {
         let mut all = HashMap::clone(all);
         all.remove(&shard);
--- a/components/engine/src/timetable.rs
+++ b/components/engine/src/timetable.rs
@@ -6,9 +6,10 @@
 
 use kernel::{HashMap, HashSet, Millis, Timestamp};
 use ownership::{Broadcast, Heartbeat};
+use schedule::EvidenceReport;
 use wire::encode;
 
-use crate::beats::{MAX_HEARTBEAT, MAX_KNOWN, REGULAR_KNOWN, own_heartbeat, send_to};
+use crate::beats::{MAX_HEARTBEAT, MAX_KNOWN, REGULAR_KNOWN, own_evidence, own_heartbeat, send_to};
 use crate::core::{Core, lock};
 
 /// Number of heartbeats at the shortest interval that a VM still gets when it no
@@ -19,6 +20,14 @@
 /// interval because they would take the shard first.
 const CANDIDATES: usize = 3;
 
+/// Time between run times sent to the VMs that get frequent heartbeats, among
+/// them those that would take this VM's shards first.
+const EVIDENCE_SHORT: Millis = Millis(1_000);
+
+/// Time between run times sent to all VMs: they are several times as large as a
+/// heartbeat, and still count after thrice that time.
+const EVIDENCE_ALL: Millis = Millis(10_000);
+
 /// Decides which VMs get a heartbeat when.
 #[derive(Debug, Default)]
 pub(crate) struct Timetable {
@@ -29,6 +38,10 @@
     /// VMs that have got heartbeats at the shortest interval, with the number
     /// of further ones that they get.
     short: HashMap<Ipv4Addr, u8>,
+    /// Time of the last run times sent to VMs that get frequent heartbeats.
+    evidence_short: Timestamp,
+    /// Time of the last run times sent to all VMs.
+    evidence_all: Timestamp,
 }
 
 impl Timetable {
@@ -66,7 +79,18 @@
             }
         };
         heartbeat.interval = interval;
+        let evidence = own_evidence(core, now);
+        let to_all = self.last_all == now && now.since(self.evidence_all) >= EVIDENCE_ALL;
+        if to_all {
+            self.evidence_all = now;
+            heartbeat.evidence = evidence.clone();
+        }
         send_to(core, &heartbeat, &rest).await;
+        heartbeat.evidence = EvidenceReport::default();
+        if now.since(self.evidence_short) >= EVIDENCE_SHORT {
+            self.evidence_short = now;
+            heartbeat.evidence = evidence;
+        }
         heartbeat.interval = least;
         heartbeat.known.clear();
         let wanted: Vec<_> = wanted.into_iter().collect();
--- a/components/metrics/src/name.rs
+++ b/components/metrics/src/name.rs
@@ -61,6 +61,7 @@
         MinionBytesIn, "minions.bytes_in", "Bytes of minions' answers.";
         MinionOpened, "minions.opened", "Connections opened to minions.";
         HoldSent, "holds.sent", "Holds sent to minions.";
+        EvidenceRefused, "peers.run_times_refused", "Reports of run times from other VMs refused as not plausible.";
         DigestSent, "peers.digests", "Digests sent to peers of the domain.";
         JobExpired, "jobs.expired", "Jobs that ran and did not end before their deadline.";
         JobFailed, "jobs.failed", "Jobs that failed because a task used up its attempts.";
@@ -91,6 +92,8 @@
         TasksRunning, "tasks.running", "Tasks sent to minions and not yet answered.";
         MinionsEjected, "minions.out", "Minions that are ejected now.";
         MinionsLeaving, "minions.leaving", "Minions that are leaving.";
+        ShardsUneven, "shards.uneven", "Shards of this VM whose tasks are placed by their predicted end, as kinds of minions differ in speed.";
+        SpeedContrast, "minions.speed_contrast", "Mean run time on the slowest kind of minion in percent of that on the fastest, 100 if kinds do not differ.";
         PeersLive, "peers.live", "Peers that this VM considers live.";
         SheetOffset, "sheet.offset", "The offset of the sheet in force.";
         LogAway, "log.away", "1 while the platform's log can't be reached, else 0.";
--- a/components/ownership/src/heartbeat.rs
+++ b/components/ownership/src/heartbeat.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use kernel::{Domain, Epoch, Incarnation, Millis};
-use schedule::Load;
+use schedule::{EvidenceReport, Load};
 use serde::{Deserialize, Serialize};
 
 use crate::shard::Shard;
@@ -77,4 +77,8 @@
     pub reports: Vec<Report>,
     /// Addresses of some VMs that the sender knows.
     pub known: Vec<Ipv4Addr>,
+    /// Run times that the sender has observed as an owner. Most heartbeats have
+    /// none.
+    #[serde(default)]
+    pub evidence: EvidenceReport,
 }
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod config;
 mod contested;
+mod evidence;
 mod heartbeat;
 mod interval;
 mod peers;
@@ -16,6 +17,7 @@
 mod token;
 
 pub use config::OwnershipConfig;
+pub use evidence::Reports;
 pub use heartbeat::{Claim, Heartbeat, Report, VmInfo};
 pub use interval::Broadcast;
 pub use kernel::Epoch;
--- a/components/ownership/tests/division.rs
+++ b/components/ownership/tests/division.rs
@@ -58,6 +58,7 @@
         version: 1,
         reports: reports.collect(),
         known: Vec::new(),
+        evidence: schedule::EvidenceReport::default(),
     }
 }
 
--- a/components/ownership/tests/intervals.rs
+++ b/components/ownership/tests/intervals.rs
@@ -7,7 +7,7 @@
 use ownership::{
     Broadcast, Change, Claim, Heartbeat, OwnershipConfig, Peers, Report, Shard, VmInfo,
 };
-use schedule::Load;
+use schedule::{EvidenceReport, Load};
 
 fn broadcast(peers: usize, owners: usize, is_owner: bool, megabits: u64) -> u64 {
     let broadcast = Broadcast {
@@ -84,6 +84,7 @@
             load: Load::default(),
         }],
         known: Vec::new(),
+        evidence: EvidenceReport::default(),
     };
     peers.receive(heartbeat, at(0));
     let lost = Change::OwnerLost(shard, owner.addr);
@@ -109,6 +110,7 @@
         version: 1,
         reports: Vec::new(),
         known: vec![[10, 0, 0, 2].into()],
+        evidence: EvidenceReport::default(),
     };
     peers.receive(heard, at(1));
     // The VM that was heard needs no greeting, a known one no second.
--- a/components/ownership/tests/takeover.rs
+++ b/components/ownership/tests/takeover.rs
@@ -4,7 +4,7 @@
 
 use kernel::{Incarnation, Timestamp};
 use ownership::{Change, Claim, Epoch, Heartbeat, OwnershipConfig, Peers, Report, Shard, VmInfo};
-use schedule::Load;
+use schedule::{EvidenceReport, Load};
 
 fn at(ms: u64) -> Timestamp {
     Timestamp(ms * 1_000)
@@ -47,6 +47,7 @@
         version: 1,
         reports: claim.map(report).into_iter().collect(),
         known: Vec::new(),
+        evidence: EvidenceReport::default(),
     }
 }
 
--- a/components/schedule/src/estimate.rs
+++ b/components/schedule/src/estimate.rs
@@ -4,7 +4,7 @@
 use kernel::{Millis, MinionId, Timestamp};
 
 use crate::action::Action;
-use crate::evidence::EvidenceReport;
+use crate::evidence::{EvidenceReport, REPORTED_PAIRS};
 use crate::ids::JobId;
 use crate::job::{Job, JobSpec, TaskState};
 use crate::scheduler::Scheduler;
@@ -89,6 +89,32 @@
         self.evidence.add(&minion.kind, queue, ratio, now);
     }
 
+    /// Returns the expected run time on a minion of a queue's task with this
+    /// estimate, if kinds of minions differ in speed.
+    pub fn expected_on(&self, on: &MinionId, queue: &str, estimate: Millis) -> Option<Millis> {
+        let minion = self.minions.get(on).filter(|_| self.evidence.is_uneven())?;
+        let typical = self.evidence.typical(&minion.kind, &queue.into());
+        let time = estimate.0 as f64 * typical * minion.pace.log().exp();
+        Some(Millis(time as u64))
+    }
+
+    /// Returns the run times observed here, for other VMs: the pairs of kind and
+    /// queue with the most runs. Empty if all minions are of one kind, as run
+    /// times by kind decide nothing then.
+    pub fn evidence_report(&self, now: Timestamp) -> EvidenceReport {
+        match self.evidence.kinds().len() > 1 {
+            true => self.evidence.report(REPORTED_PAIRS, now),
+            false => EvidenceReport::default(),
+        }
+    }
+
+    /// Returns the slowest kind's mean run time over the fastest kind's if tasks
+    /// are placed by their predicted end, which they are where kinds differ.
+    pub fn speed_contrast(&self) -> Option<f64> {
+        let evidence = &self.evidence;
+        evidence.is_uneven().then(|| evidence.contrast())
+    }
+
     /// Adds the run times that another owner has observed. Fleets whose kinds do
     /// not differ are scheduled as without it.
     pub fn learn_report(&mut self, report: &EvidenceReport, now: Timestamp) {
--- a/components/schedule/src/evidence.rs
+++ b/components/schedule/src/evidence.rs
@@ -556,6 +556,29 @@
 }
 
 impl EvidenceReport {
+    /// Returns the report with fewer runs the older it is.
+    pub fn aged(&self, age: Millis) -> EvidenceReport {
+        let factor = (-(age.0 as f64) / SPAN_MS).exp() as f32;
+        let mut report = self.clone();
+        for pair in &mut report.pairs {
+            pair.runs *= factor;
+        }
+        report
+    }
+
+    /// Returns the sum of reports, with at most `count` pairs.
+    pub fn sum(
+        reports: impl Iterator<Item = EvidenceReport>,
+        count: usize,
+        now: Timestamp,
+    ) -> EvidenceReport {
+        let mut sum = Evidence::default();
+        for report in reports {
+            sum.add_report(&report, now);
+        }
+        sum.report(count, now)
+    }
+
     /// Returns whether the figures are plausible.
     ///
     /// # Errors
@@ -574,7 +597,10 @@
 impl Evidence {
     /// Returns the `count` pairs with the most runs.
     pub fn report(&self, count: usize, now: Timestamp) -> EvidenceReport {
-        let fresh = |p: &&Pair| now.since(p.updated) < MAX_AGE && p.runs.total() > 0.0;
+        let fresh = |p: &&Pair| {
+            let recent = now.since(p.updated) < MAX_AGE;
+            recent && p.runs.total() > 0.0 && p.queue.len() <= MAX_QUEUE_LEN
+        };
         let mut pairs: Vec<_> = self.pairs.iter().filter(fresh).collect();
         pairs.sort_by(|a, b| b.runs.total().total_cmp(&a.runs.total()));
         EvidenceReport {
