--- a/components/entry/src/gauges.rs
+++ b/components/entry/src/gauges.rs
@@ -62,6 +62,8 @@
         | Gauge::ConfigurationVersion
         | Gauge::DomainsEvacuated
         | Gauge::EvacuationOffset
+        | Gauge::ShardsUneven
+        | Gauge::SpeedContrast
         | Gauge::HeartbeatAge => 0,
     };
     value as u64
--- a/components/ownership/src/heartbeat.rs
+++ b/components/ownership/src/heartbeat.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use kernel::{Domain, Epoch, Incarnation, Millis, Offset};
-use schedule::Load;
+use schedule::{EvidenceReport, Load};
 use serde::{Deserialize, Serialize};
 
 use crate::shard::Shard;
@@ -80,4 +80,8 @@
     /// Offset of the sender's state of evacuations; 0 if it knows none.
     #[serde(default)]
     pub evacuations: Offset,
+    /// Run times that the sender has observed as an owner. Most heartbeats have
+    /// none.
+    #[serde(default)]
+    pub evidence: EvidenceReport,
 }
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -8,6 +8,7 @@
 mod cold_start;
 mod config;
 mod contested;
+mod evidence;
 mod heartbeat;
 mod interval;
 mod peers;
@@ -18,6 +19,7 @@
 mod token;
 
 pub use config::OwnershipConfig;
+pub use evidence::Reports;
 pub use heartbeat::{Claim, Heartbeat, Report, VmInfo};
 pub use interval::Broadcast;
 pub use kernel::Epoch;
--- a/components/ownership/tests/cold_start.rs
+++ b/components/ownership/tests/cold_start.rs
@@ -200,6 +200,7 @@
             reports,
             known: addrs,
             evacuations: Offset(0),
+            evidence: schedule::EvidenceReport::default(),
         }
     }
 
@@ -475,6 +476,7 @@
         reports,
         known: Vec::new(),
         evacuations: Offset(0),
+        evidence: schedule::EvidenceReport::default(),
     }
 }
 
--- a/components/ownership/tests/division.rs
+++ b/components/ownership/tests/division.rs
@@ -59,6 +59,7 @@
         reports: reports.collect(),
         known: Vec::new(),
         evacuations: Offset(0),
+        evidence: schedule::EvidenceReport::default(),
     }
 }
 
--- a/components/ownership/tests/takeover.rs
+++ b/components/ownership/tests/takeover.rs
@@ -4,7 +4,7 @@
 
 use kernel::{Incarnation, Offset, Timestamp};
 use ownership::{Change, Claim, Epoch, Heartbeat, OwnershipConfig, Peers, Report, Shard, VmInfo};
-use schedule::Load;
+use schedule::{EvidenceReport, Load};
 
 fn at(ms: u64) -> Timestamp {
     Timestamp(ms * 1_000)
@@ -48,6 +48,7 @@
         reports: claim.map(report).into_iter().collect(),
         known: Vec::new(),
         evacuations: Offset(0),
+        evidence: EvidenceReport::default(),
     }
 }
 
