--- a/components/ownership/tests/run_times.rs
+++ b/components/ownership/tests/run_times.rs
@@ -54,6 +54,7 @@
         version: 1,
         reports: Vec::new(),
         known: Vec::new(),
+        evacuations: kernel::Offset(0),
         evidence,
     }
 }
