--- a/components/routing/src/lease.rs
+++ b/components/routing/src/lease.rs
@@ -39,9 +39,9 @@
     /// Returns the free leases of this VM less its waiting tasks.
     pub(crate) fn spare(&self, table: &Table, now: Timestamp) -> i32 {
         let home = table.home.iter().map(|&at| &table.nodes[at]);
-        let free: u32 = home.map(|n| free_leases(n, now)).sum();
-        let waiting = table.services.values().map(|s| s.demand.waiting());
-        free as i32 - waiting.sum::<u32>() as i32
+        let waiting = waiting(table);
+        let free: u32 = home.map(|n| free_leases(n, waiting, now)).sum();
+        free as i32 - waiting as i32
     }
 
     /// Returns whether a digest ahead of the next heartbeat would shorten
@@ -101,10 +101,11 @@
         now: Timestamp,
         grants: &mut Vec<Grant>,
     ) {
+        let waiting = waiting(table);
         for least in [3, 2, 1] {
             for (i, &at) in table.home.iter().enumerate().take(MAX_LOADS) {
                 let node = &table.nodes[at];
-                let free = free_leases(node, now);
+                let free = free_leases(node, waiting, now);
                 if count == 0 || grants.len() >= MAX_GRANTS {
                     return;
                 }
@@ -187,16 +188,22 @@
     }
 }
 
+/// Returns the number of tasks of this VM that wait for a slot.
+fn waiting(table: &Table) -> u32 {
+    table.services.values().map(|s| s.demand.waiting()).sum()
+}
+
 /// Returns the number of leases on a minion that no task uses. On a minion that
-/// is not in normal mode a task of this VM keeps the other leases back, as this
-/// VM can't use them. Without such a task nothing here would clear the minion, so
-/// the leases must be free for peers, which may see it as healthy.
-fn free_leases(node: &Node, now: Timestamp) -> u32 {
+/// is not in normal mode this VM can use one lease at a time, so the others don't
+/// count as long as a task runs there or waits to probe it. Without such a task
+/// nothing here would clear the minion, so its leases must be free for peers,
+/// which may see it as healthy.
+fn free_leases(node: &Node, waiting: u32, now: Timestamp) -> u32 {
     if node.info.leaving || closed_until(node) > now {
         return 0;
     }
     let own = node.state.in_flight.count();
-    if node.state.mode() != Mode::Normal && own > 0 {
+    if node.state.mode() != Mode::Normal && own + waiting > 0 {
         return 0;
     }
     let lease = node.state.lease.load(Ordering::Relaxed);
