Count a task as perhaps started only once a connection is open for it

Cause: a task counted as exposed from before its connection was opened. A job that ended at its deadline, or was cancelled, while a connection was being opened was answered "maybe", though no byte can have left.

Ruled out: a connection from the pool (the minion never answered, so none is idle), and a refusal that is misread (CallError::Refused is never "sent").

Change: wire::Client reports to a SendObserver just before it hands a request to an open connection, and when the connection returns it unwritten. A task is marked as sent by that, and cleared at most once.

Tests: unopened_connection (new) guards against it: the connection is held and the job is cancelled.

--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -110,17 +110,23 @@
         self.handoffs.fetch_add(1, Ordering::SeqCst);
     }
 
-    /// Records that a task is about to be sent to a minion. Returns whether
-    /// that task may have started before.
-    pub fn mark_sent(&self, index: usize) -> bool {
-        self.add_handoff();
-        self.sent[index].swap(true, Ordering::SeqCst)
+    /// Returns whether a task may have started.
+    pub fn is_sent(&self, index: usize) -> bool {
+        self.sent[index].load(Ordering::SeqCst)
     }
 
-    /// Records that a task that was sent provably did not start.
+    /// Records that a task is about to be handed to a connection to a minion.
+    pub fn mark_sent(&self, index: usize) {
+        if !self.sent[index].swap(true, Ordering::SeqCst) {
+            self.add_handoff();
+        }
+    }
+
+    /// Records that a task provably did not start, whether or not it was sent.
     pub fn clear_sent(&self, index: usize) {
-        self.sent[index].store(false, Ordering::SeqCst);
-        self.handoffs.fetch_sub(1, Ordering::SeqCst);
+        if self.sent[index].swap(false, Ordering::SeqCst) {
+            self.handoffs.fetch_sub(1, Ordering::SeqCst);
+        }
     }
 
     /// Returns whether any task may have started.
--- a/components/entry/src/task.rs
+++ b/components/entry/src/task.rs
@@ -13,7 +13,7 @@
 use routing::{Finish, MinionInfo, Policy};
 use timeline::{EventKind, Note};
 use tokio::time::Instant;
-use wire::{CallError, Connect, Reply};
+use wire::{CallError, Connect, Reply, SendObserver};
 
 use crate::core::Core;
 use crate::run::Run;
@@ -82,7 +82,7 @@
             return Err(Reason::NoMinion);
         };
         let started = core.now();
-        if run.mark_sent(index) {
+        if run.is_sent(index) {
             core.violations.double_start();
             return Err(lost_reason(run, task));
         }
@@ -90,7 +90,7 @@
             note(core, run, task, &minion, EventKind::TaskResent);
         }
         note(core, run, task, &minion, EventKind::TaskSent);
-        match send(core, run, task, &minion).await {
+        match send(core, run, index, &minion).await {
             SendResult::Answered(body) => {
                 let run_time = core.now().micros_since(started);
                 core.notes
@@ -173,12 +173,32 @@
     }
 }
 
+/// Marks a task as perhaps started while a connection has its request. A task
+/// that still waits for its connection to open has provably not started.
+struct Exposure<'a> {
+    /// Job of the task.
+    run: &'a Run,
+    /// Index of the task in its job.
+    index: usize,
+}
+
+impl SendObserver for Exposure<'_> {
+    fn sending(&self) {
+        self.run.mark_sent(self.index);
+    }
+
+    fn unsent(&self) {
+        self.run.clear_sent(self.index);
+    }
+}
+
 async fn send<C: Connect, P: Policy>(
     core: &Core<C, P>,
     run: &Run,
-    task: &TaskSpec,
+    index: usize,
     minion: &MinionInfo,
 ) -> SendResult {
+    let task = &run.spec.tasks[index];
     let left = run.deadline.saturating_duration_since(Instant::now());
     let Some(req) = request(core, run, task, left) else {
         return SendResult::NotStarted;
@@ -186,7 +206,10 @@
     let in_flight = InFlight {
         metrics: Some(&core.notes.metrics),
     };
-    let call = core.minions.call(minion.addr, req, left);
+    let exposure = Exposure { run, index };
+    let call = core
+        .minions
+        .call_observed(minion.addr, req, left, &exposure);
     let answer = await_answer(core, run, task, minion, call).await;
     in_flight.complete();
     classify(answer)
--- a/components/entry/tests/outcomes.rs
+++ b/components/entry/tests/outcomes.rs
@@ -70,6 +70,23 @@
     until_idle(&fleet).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn unopened_connection() {
+    // Guards against a "may have run" for a task whose connection was still being
+    // opened when its job ended.
+    let fleet = Fleet::start(1, 1).await;
+    fleet.net.stall(fleet.minions[0].addr(), true);
+    let cancel = async {
+        fleet.until(0, |s| s["counts"]["tasks.sent"] == 1).await;
+        fleet.job_request(0, Method::DELETE, "job-1").await
+    };
+    let (reply, _) = tokio::join!(fleet.submit(0, "job-1", &[10]), cancel);
+    assert_eq!((reply.0, &reply.1["ran"]), (409, &"no".into()), "{reply:?}");
+    fleet.net.stall(fleet.minions[0].addr(), false);
+    until_idle(&fleet).await;
+    assert_eq!(fleet.ledger.count(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn dropped_answer() {
     let fleet = Fleet::start(1, 2).await;
--- a/components/wire/src/client.rs
+++ b/components/wire/src/client.rs
@@ -88,6 +88,23 @@
 
 impl std::error::Error for CallError {}
 
+/// Observes from when to when a request may reach the server. A call that is
+/// dropped or still opens a connection returns no [`CallError`] to tell.
+pub trait SendObserver {
+    /// Called just before the request is handed to an open connection.
+    fn sending(&self);
+
+    /// Called when the connection has returned the request without having
+    /// written any byte of it.
+    fn unsent(&self);
+}
+
+impl SendObserver for () {
+    fn sending(&self) {}
+
+    fn unsent(&self) {}
+}
+
 /// A complete response.
 #[derive(Debug)]
 pub struct Reply {
@@ -214,7 +231,24 @@
         req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Reply, CallError> {
-        self.call_within(addr, req, BodyWait::Whole, timeout).await
+        self.call_observed(addr, req, timeout, &()).await
+    }
+
+    /// Sends a request like [`Client::call`], and reports to `observer` while it
+    /// may reach the server.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Client::call`].
+    pub async fn call_observed<O: SendObserver>(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+        observer: &O,
+    ) -> Result<Reply, CallError> {
+        self.call_within(addr, req, BodyWait::Whole, timeout, observer)
+            .await
     }
 
     /// Sends a request whose response may be large. `timeout` is for its headers
@@ -231,30 +265,39 @@
         timeout: Duration,
     ) -> Result<Reply, CallError> {
         let wait = BodyWait::EachPart(timeout);
-        self.call_within(addr, req, wait, timeout).await
+        self.call_within(addr, req, wait, timeout, &()).await
     }
 
-    async fn call_within(
+    async fn call_within<O: SendObserver>(
         &self,
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
         wait: BodyWait,
         timeout: Duration,
+        observer: &O,
     ) -> Result<Reply, CallError> {
         let deadline = tokio::time::Instant::now() + timeout;
         let mut req = req;
         // If an idle connection turns out to be closed, the request is returned
         // unsent and the next connection is tried.
         while let Some(active) = self.reuse(addr) {
+            observer.sending();
             match self.send(addr, active, req, wait, deadline).await {
-                Err(SendError::Unsent(unsent)) => req = *unsent,
+                Err(SendError::Unsent(unsent)) => {
+                    observer.unsent();
+                    req = *unsent;
+                }
                 Err(SendError::Failed(e)) => return Err(e),
                 Ok(reply) => return Ok(reply),
             }
         }
         let active = self.open(addr, deadline).await?;
+        observer.sending();
         match self.send(addr, active, req, wait, deadline).await {
-            Err(SendError::Unsent(_)) => Err(CallError::Unsent),
+            Err(SendError::Unsent(_)) => {
+                observer.unsent();
+                Err(CallError::Unsent)
+            }
             Err(SendError::Failed(e)) => Err(e),
             Ok(reply) => Ok(reply),
         }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -10,7 +10,7 @@
 mod server;
 
 pub use body::{BodyError, read_body};
-pub use client::{CallError, Client, PoolLimits, Reply, Traffic};
+pub use client::{CallError, Client, PoolLimits, Reply, SendObserver, Traffic};
 pub use codec::{CodecError, VERSION, decode, encode};
 pub use connect::{Connect, TcpConnect};
 pub use link::Link;
