Ask the peers before refusing a key that this VM is releasing

Cause: a VM that had released a key answered "not run" (log_away) to the next submission without a question, as it still counted as the owner until it had read its release back. Another VM can have read the release earlier, claimed the key and run the job. Found by reading while false_not_run was traced.

Change: such a submission takes the ordinary way: it tries to claim the key, and its refusal is confirmed by the peers.

The gate before the platform of unlisted_owner moves to the tests' common module, unchanged in what it refuses.

Conclusion: a false "not run" is mended.

--- a/components/entry/src/submit.rs
+++ b/components/entry/src/submit.rs
@@ -187,15 +187,16 @@
         },
         JobKey::Bare(_) => match core.claimer.owner_of(KeyHash::of(&spec.key)) {
             // While claims may be missing, the run decides about the job once
-            // it tries to claim the key.
-            KeyOwner::Unclaimed | KeyOwner::Unknown => {
+            // it tries to claim the key. So it does while this VM releases the
+            // key: until the release is read back, another VM may already have
+            // read it, claimed the key and run the job.
+            KeyOwner::Unclaimed | KeyOwner::Unknown | KeyOwner::Releasing => {
                 Ok(Run::new(spec.clone(), core.now(), false))
             }
             KeyOwner::OwnedBy(owner) if core.windows.holds(owner.incarnation) => {
                 Err(EnterError::Answered(Outcome::Unknown(Reason::Forgotten)))
             }
             KeyOwner::OwnedBy(_) => Err(EnterError::OwnedElsewhere),
-            KeyOwner::Releasing => Err(EnterError::Answered(Outcome::not_run(Reason::LogAway))),
         },
     }
 }
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -3,13 +3,14 @@
 
 #![allow(dead_code)]
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
 use entry::{Config, Vm};
-use http_body_util::Full;
-use hyper::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use kernel::{Cores, Domain, Millis, Service, Slots, VmId};
 use limits::LimitsConfig;
 use logstore::{HttpPlatform, MachineList, Platform, Presence, Stream, VmRow};
@@ -22,7 +23,7 @@
     Endpoint, Hops, Ledger, MinionConfig, MinionStandin, Net, PlatformConfig, PlatformStandin,
 };
 use tokio::runtime::{Builder, Runtime};
-use wire::{CallError, Client, PoolLimits, Reply};
+use wire::{CallError, Client, Handler, PoolLimits, Reply, Server, ServerLimits, TcpConnect};
 
 /// Timeout of every wait in a test.
 pub const TIMEOUT: Duration = Duration::from_secs(20);
@@ -328,6 +329,79 @@
     }
 }
 
+/// What a [`PlatformGate`] does with a request.
+#[derive(Debug, Clone, Copy)]
+pub enum Gate {
+    /// The platform answers it.
+    Pass,
+    /// It is answered with status 503.
+    Refuse,
+    /// It gets no answer.
+    Hold,
+}
+
+/// A server between one VM and the platform that decides about each request.
+#[derive(Clone)]
+pub struct PlatformGate<F> {
+    /// Address of the platform.
+    target: SocketAddr,
+    /// Client for the requests that pass.
+    client: Client<TcpConnect>,
+    /// Decides about a request.
+    decide: F,
+}
+
+impl<F> PlatformGate<F>
+where
+    F: Fn(&Method, &Uri) -> Gate + Clone + Send + Sync + 'static,
+{
+    /// Starts a gate before the platform of a fleet and returns its address.
+    pub async fn start(fleet: &Fleet, decide: F) -> SocketAddr {
+        let gate = PlatformGate {
+            target: fleet.platform.addr(),
+            client: Client::new(TcpConnect, PoolLimits::default()),
+            decide,
+        };
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let server = Server::bind(addr, ServerLimits::default()).await.unwrap();
+        let addr = server.addr().unwrap();
+        fleet.net.register(addr, Endpoint::platform());
+        tokio::spawn(server.serve(gate));
+        addr
+    }
+}
+
+impl<F> Handler for PlatformGate<F>
+where
+    F: Fn(&Method, &Uri) -> Gate + Clone + Send + Sync + 'static,
+{
+    async fn handle(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (head, body) = req.into_parts();
+        let body = body.collect().await.unwrap().to_bytes();
+        let reply = match (self.decide)(&head.method, &head.uri) {
+            Gate::Pass => {
+                let req = Request::from_parts(head, Full::new(body));
+                self.client.call(self.target, req, GATE_TIMEOUT).await.ok()
+            }
+            Gate::Refuse => None,
+            Gate::Hold => std::future::pending().await,
+        };
+        let mut res = Response::new(Full::default());
+        match reply {
+            Some(reply) => {
+                *res.status_mut() = reply.status;
+                *res.body_mut() = Full::new(reply.body);
+            }
+            None => *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE,
+        }
+        res
+    }
+}
+
+/// Timeout of a request that passes a [`PlatformGate`], longer than any long
+/// poll of a VM.
+const GATE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Returns the service that all minions of the fleet offer.
 pub fn service() -> Service {
     "quote".parse().unwrap()
