--- a/components/entry/src/gauges.rs
+++ b/components/entry/src/gauges.rs
@@ -60,6 +60,8 @@
         | Gauge::MinionsHeld
         | Gauge::CoresFree
         | Gauge::ConfigurationVersion
+        | Gauge::ShardsUneven
+        | Gauge::SpeedContrast
         | Gauge::HeartbeatAge => 0,
     };
     value as u64
