--- a/components/ownership/tests/cold_start.rs
+++ b/components/ownership/tests/cold_start.rs
@@ -466,6 +466,32 @@
     assert_eq!(join(2, 2), 0);
 }
 
+#[test]
+fn owner_restarts() {
+    // An owner whose process restarts so quickly that it is not missed. Its shard is
+    // vacant then, and no two VMs may take it.
+    for seed in 1..=20 {
+        let mut model = Model::new(site(12, 24, seed));
+        model.start(12);
+        model.run(Millis(5_000));
+        let owns = |i: &usize| model.vms[*i].peers.claims().next().is_some();
+        let owner = (0..12).find(owns).unwrap();
+        model.vms[owner].info.incarnation = format!("{:032x}", 99).parse().unwrap();
+        let before = model.outcome;
+        model.schedule(owner, 5_010_000, Event::Start);
+        model.run(Millis(8_000));
+        assert!(model.all_owned(), "seed {seed}");
+        let (taken, lost) = (model.outcome.taken, model.outcome.lost);
+        println!(
+            "seed {seed}: {} taken, {} lost, settled after {} ms",
+            taken - before.taken,
+            lost - before.lost,
+            model.outcome.settled - 5_010
+        );
+        assert_eq!(lost, before.lost, "seed {seed}");
+    }
+}
+
 fn beat(from: &VmInfo, version: u64, reports: Vec<Report>) -> Heartbeat {
     Heartbeat {
         from: from.clone(),
