Refuse at once on a starting VM while all domains are evacuated

Change: neither the wait for an owner nor that for more minions applies then. Measured: both_domains failed before; the 44 tests of engine pass.

--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -141,7 +141,7 @@
     let latest = latest_begin(spec, start);
     loop {
         let now = core.now();
-        let waits = core.peers().starting(now) && now < latest;
+        let waits = core.peers().starting(now) && now < latest && !all_evacuated(core);
         let found = home_owned(core) && next_shard(core, spec, &[], None).is_some();
         if !waits || found {
             return;
@@ -160,6 +160,13 @@
         || core.peers().owners().any(|(shard, _)| is_home(shard))
 }
 
+/// Returns whether all domains of the site are being evacuated, so that no wait
+/// helps a job.
+fn all_evacuated<M>(core: &Core<M>) -> bool {
+    let evacuations = core.evacuations.load();
+    core.cfg.domains.iter().all(|d| evacuations.contains(d))
+}
+
 /// Runs a job once. On a VM that has just started, a refused job is offered again
 /// when owners hold more minions.
 async fn run_once<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Outcome {
@@ -169,7 +176,7 @@
     loop {
         let outcome = offer(core, &spec, start).await;
         let refused = matches!(outcome, Outcome::Refused { .. });
-        let starting = core.peers().starting(core.now());
+        let starting = core.peers().starting(core.now()) && !all_evacuated(core);
         if !refused || !starting || !await_minions(core, &spec, start).await {
             return shorten_retry(core, outcome, began);
         }
