--- a/components/schedule/src/estimate.rs
+++ b/components/schedule/src/estimate.rs
@@ -4,7 +4,7 @@
 use kernel::{Millis, MinionId, Timestamp};
 
 use crate::action::Action;
-use crate::evidence::{EvidenceReport, REPORTED_PAIRS};
+use crate::evidence_report::{EvidenceReport, REPORTED_PAIRS};
 use crate::ids::JobId;
 use crate::job::{Job, JobSpec, TaskState};
 use crate::scheduler::Scheduler;
--- a/components/schedule/src/forecast.rs
+++ b/components/schedule/src/forecast.rs
@@ -4,7 +4,8 @@
 use compact_str::CompactString;
 use kernel::Timestamp;
 
-use crate::evidence::{Evidence, Survival};
+use crate::distribution::Survival;
+use crate::evidence::Evidence;
 use crate::job::Job;
 use crate::minion::Minion;
 
--- a/components/schedule/src/lib.rs
+++ b/components/schedule/src/lib.rs
@@ -11,9 +11,11 @@
 mod config;
 mod contest;
 mod demand;
+mod distribution;
 mod estimate;
 mod evacuation;
 mod evidence;
+mod evidence_report;
 mod forecast;
 mod health;
 mod ids;
@@ -33,9 +35,8 @@
 pub use answers::HoldResult;
 pub use config::ScheduleConfig;
 pub use evacuation::GivenBack;
-pub use evidence::{
-    EvidenceError, EvidenceReport, MAX_AGE, MinionKind, MinionKindError, PairReport, REPORTED_PAIRS,
-};
+pub use evidence::{MinionKind, MinionKindError};
+pub use evidence_report::{EvidenceError, EvidenceReport, MAX_AGE, PairReport, REPORTED_PAIRS};
 pub use ids::{JobId, JobIdError, TaskName};
 pub use job::{JobSpec, Outcome, Step, Summary};
 pub use kernel::{Fence, Gpus, LeaseTime, Mebibytes, MilliCores, RunNumber};
--- a/components/schedule/src/transfer.rs
+++ b/components/schedule/src/transfer.rs
@@ -4,7 +4,8 @@
 use kernel::{Fence, LeaseTime, Millis, MinionId, RunNumber, Timestamp};
 use serde::{Deserialize, Serialize};
 
-use crate::evidence::{EvidenceReport, MAX_PAIRS};
+use crate::evidence::MAX_PAIRS;
+use crate::evidence_report::EvidenceReport;
 use crate::ids::{JobId, TaskName};
 use crate::job::{Job, JobSpec, TaskState};
 use crate::minion::{Minion, MinionInfo};
