Log and count the runs that end with their minion

Cause: a run that ends with its minion left no line, so that the hypotheses on the deadly task could not be told apart. Change: Action::Lost with the process, the number of runs beside it and the event; log line and runs.lost. No change of what is started.

--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -69,6 +69,12 @@
             Action::Failed(id, task, run, kind) => {
                 log::warn!(task:% = task, run = run.0, minion:% = id, kind:? = kind; "run failed");
             }
+            Action::Lost(loss) => {
+                core.metrics.add(Count::RunLost, 1);
+                log::warn!(task:% = loss.task, run = loss.run.0, minion:% = loss.minion,
+                    shard:% = owned.shard(), born = loss.born, beside = loss.beside,
+                    cause:? = loss.cause; "run lost with its minion");
+            }
             Action::Hung(id, task, run) => {
                 log::warn!(task:% = task, run = run.0, minion:% = id; "hung run stopped");
             }
--- a/components/metrics/src/name.rs
+++ b/components/metrics/src/name.rs
@@ -68,6 +68,7 @@
         JobRepeated, "jobs.repeated", "Jobs run again because their owner was lost.";
         JobOffered, "jobs.offered", "Offers of a refused job to another shard with room for it.";
         StartUntaken, "starts.untaken", "Starts that a minion did not accept.";
+        RunLost, "runs.lost", "Runs that ended with their minion, without a report of their end.";
         RunStopped, "runs.stopped", "Stops sent for runs.";
         HoldMissed, "holds.missed", "Holds that a minion did not answer.";
         MinionFenced, "minions.fenced", "Orders that a minion refused because of their fencing token.";
--- a/components/schedule/src/action.rs
+++ b/components/schedule/src/action.rs
@@ -44,6 +44,32 @@
     pub run: RunNumber,
 }
 
+/// The event with which a minion lost its runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossCause {
+    /// It has not answered for so long that its lease has lapsed.
+    Silent,
+    /// Its process has restarted.
+    Restarted,
+}
+
+/// A run that ended with its minion, without a report of its end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunLoss {
+    /// Name of the task.
+    pub task: TaskName,
+    /// Number of the run among the task's runs.
+    pub run: RunNumber,
+    /// Id of the minion.
+    pub minion: MinionId,
+    /// Start time of the minion's process, as in [`MinionInfo::born`](crate::MinionInfo::born).
+    pub born: u64,
+    /// Number of other runs that the minion lost with it.
+    pub beside: usize,
+    /// The event with which the run was lost.
+    pub cause: LossCause,
+}
+
 /// An order or event for the owner to carry out or log.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -57,6 +83,8 @@
     Ejected(MinionId, Millis),
     /// A run failed or its lease lapsed; for logs.
     Failed(MinionId, TaskName, RunNumber, EndKind),
+    /// A run was lost with its minion; for logs.
+    Lost(RunLoss),
     /// A run exceeded its time limit and is being stopped; for logs.
     Hung(MinionId, TaskName, RunNumber),
     /// The measured speeds of the kinds of minions have begun or ceased to differ
--- a/components/schedule/src/lib.rs
+++ b/components/schedule/src/lib.rs
@@ -30,7 +30,7 @@
 mod tick;
 mod transfer;
 
-pub use action::{Action, StartOrder, StopOrder};
+pub use action::{Action, LossCause, RunLoss, StartOrder, StopOrder};
 pub use admission::Admission;
 pub use answers::HoldResult;
 pub use config::ScheduleConfig;
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -6,6 +6,7 @@
 use kernel::{Domain, Fence, LeaseTime, Millis, MinionId, RunNumber, Service, Timestamp};
 use serde::{Deserialize, Serialize};
 
+use crate::action::{Action, LossCause, RunLoss};
 use crate::config::ScheduleConfig;
 use crate::contest::Contest;
 use crate::evidence::MinionKind;
@@ -295,6 +296,21 @@
         self.hold_state != HoldState::Held && now.since(self.last_renewal).0 as f64 > lease
     }
 
+    /// Returns the loss of each run, as they all end with the minion's process.
+    pub fn losses(&self, cause: LossCause) -> impl Iterator<Item = Action> {
+        let beside = self.runs.len().saturating_sub(1);
+        self.runs.iter().map(move |run| {
+            Action::Lost(RunLoss {
+                task: run.task.clone(),
+                run: run.number,
+                minion: self.info.id.clone(),
+                born: self.info.born,
+                beside,
+                cause,
+            })
+        })
+    }
+
     /// Compares the known runs with a new list. Returns runs that are over
     /// without a reported end, and adds listed runs of other owners.
     pub fn reconcile(&mut self, list: &Listing, now: Timestamp) -> Vec<Run> {
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -4,7 +4,7 @@
 use kernel::{Fence, HashMap, LeaseTime, Millis, MinionId, RunNumber, Timestamp};
 use serde::{Deserialize, Serialize};
 
-use crate::action::Action;
+use crate::action::{Action, LossCause};
 use crate::admission::{Admission, Backlog, UNSERVABLE_RETRY, decide};
 use crate::config::ScheduleConfig;
 use crate::demand::Demand;
@@ -364,6 +364,7 @@
         let Some(minion) = self.minions.get_mut(id) else {
             return;
         };
+        self.actions.extend(minion.losses(LossCause::Restarted));
         let mut state = Minion::new(minion.info.clone(), minion.fence);
         state.last_renewal = minion.last_renewal;
         state.contest = minion.contest;
--- a/components/schedule/src/tick.rs
+++ b/components/schedule/src/tick.rs
@@ -3,7 +3,7 @@
 
 use kernel::{Millis, Timestamp};
 
-use crate::action::Action;
+use crate::action::{Action, LossCause};
 use crate::job::{Job, Outcome};
 use crate::minion::{HoldState, Minion};
 use crate::order::is_late;
@@ -72,6 +72,10 @@
         let mut lapsed_runs = Vec::new();
         for minion in self.minions.values_mut() {
             let lapsed = minion.lease_lapsed(now, &cfg);
+            // The runs of a minion that obeys another owner are not over.
+            if lapsed && minion.hold_state == HoldState::Silent {
+                self.actions.extend(minion.losses(LossCause::Silent));
+            }
             for run in &mut minion.runs {
                 if lapsed {
                     lapsed_runs.push((minion.info.id.clone(), run.task.clone(), run.number));
--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -343,7 +343,7 @@
                 Action::Stop(order) => self.send(Message::Stop(owner, order)),
                 Action::Settle(id, outcome, _) => self.outcomes.push((self.now, id, outcome)),
                 Action::SpeedsCompared { uneven, .. } => self.comparisons.push(uneven),
-                Action::Ejected(..) | Action::Failed(..) | Action::Hung(..) => {}
+                Action::Ejected(..) | Action::Failed(..) | Action::Hung(..) | Action::Lost(_) => {}
             }
         }
     }
