--- a/components/engine/tests/common/mod.rs
+++ b/components/engine/tests/common/mod.rs
@@ -53,6 +53,14 @@
         self.0.starts().len()
     }
 
+    /// Returns the number of starts of a job's tasks.
+    pub fn starts_of(&self, job: &JobSpec) -> usize {
+        let starts = self.0.starts().into_iter();
+        starts
+            .filter(|s| s.task.job().as_ref() == Some(&job.id))
+            .count()
+    }
+
     /// Returns the number of running tasks.
     pub fn running(&self) -> usize {
         self.0.running()
@@ -72,6 +80,10 @@
     }
 
     async fn hold(&self, id: &MinionId, order: &HoldOrder) -> HoldReply {
+        if self.0.is_down(id) {
+            tokio::time::sleep(Duration::from_millis(40)).await;
+            return HoldReply::NoAnswer;
+        }
         match self.0.hold(id, order).await.unwrap() {
             Some(list) => HoldReply::Listed(list),
             None => HoldReply::Fenced,
--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -17,7 +17,7 @@
     MilliCores, MinionInfo, NextHold, Outcome, Resources, RunNumber, ScheduleConfig, Scheduler,
     StartOrder, StartReply, Step, StopOrder, TaskName,
 };
-use standins::{LeasedMinion, Work, find_violations};
+use standins::{Fate, LeasedMinion, Work, find_violations};
 
 use wave::FleetKind;
 
@@ -88,6 +88,21 @@
     HoldDue(usize, MinionId),
 }
 
+/// Returns what the sender of an order notices if no answer comes.
+fn unanswered(order: &Message) -> Message {
+    match order {
+        Message::Start(owner, s) => Message::Started(
+            *owner,
+            s.minion.clone(),
+            s.task.clone(),
+            s.run,
+            StartReply::NoAnswer,
+        ),
+        Message::Hold(owner, id, _) => Message::Missed(*owner, id.clone()),
+        _ => Message::Missed(usize::MAX, "none".parse().unwrap()),
+    }
+}
+
 /// Probabilities of network faults, from 0 to 1.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
@@ -147,6 +162,12 @@
     /// Results of comparing the kinds' speeds: whether they differ.
     pub comparisons: Vec<bool>,
     pub violations: Vec<String>,
+    /// Fates of single tasks; all others succeed.
+    pub fates: BTreeMap<TaskName, Fate>,
+    /// Minions on which each task was started, in order.
+    pub started_on: BTreeMap<TaskName, Vec<MinionId>>,
+    /// Entries of the register that were published last.
+    published: BTreeMap<MinionId, MinionInfo>,
     /// Orders that reached the minions, with their replies, for debugging.
     pub order_log: Vec<String>,
     work: BTreeMap<JobId, Work>,
@@ -191,6 +212,9 @@
             losses: 0,
             comparisons: Vec::new(),
             violations: Vec::new(),
+            fates: BTreeMap::new(),
+            started_on: BTreeMap::new(),
+            published: BTreeMap::new(),
             order_log: Vec::new(),
             work: BTreeMap::new(),
             queue: BTreeMap::new(),
@@ -199,6 +223,8 @@
             rng: StdRng::seed_from_u64(seed),
         };
         for minion in minions {
+            let info = minion.info.clone();
+            sim.published.insert(info.id.clone(), info);
             sim.minions.insert(minion.info.id.clone(), minion);
         }
         for _ in 0..owners {
@@ -221,6 +247,23 @@
         }
     }
 
+    /// Passes changed entries of the register to all owners, as minions that have
+    /// restarted or have another capacity write them anew.
+    fn publish_register(&mut self) {
+        let infos = self.minions.values().filter(|m| !m.is_down());
+        let infos: Vec<_> = infos.map(|m| m.info.clone()).collect();
+        for info in infos {
+            if self.published.get(&info.id) == Some(&info) {
+                continue;
+            }
+            self.published.insert(info.id.clone(), info.clone());
+            for owner in 0..self.owners.len() {
+                let fence = self.next_token();
+                self.owners[owner].register(info.clone(), fence);
+            }
+        }
+    }
+
     /// Replaces an owner by a new one that gets its state by handover.
     pub fn hand_over(&mut self, owner: usize) {
         let time = self.time();
@@ -271,20 +314,7 @@
     /// Sends an order, which may be lost or delayed.
     fn send(&mut self, order: Message) {
         let faults = self.faults;
-        let no_answer = match &order {
-            Message::Start(o, s) => Message::Started(
-                *o,
-                s.minion.clone(),
-                s.task.clone(),
-                s.run,
-                StartReply::NoAnswer,
-            ),
-            Message::Hold(o, id, _) => Message::Missed(*o, id.clone()),
-            other => {
-                let _ = other;
-                Message::Missed(usize::MAX, "none".parse().unwrap())
-            }
-        };
+        let no_answer = unanswered(&order);
         if self.chance(faults.lost_orders) || self.is_gone(&order) {
             self.enqueue(200, no_answer);
         } else if self.chance(faults.late_orders) {
@@ -327,7 +357,7 @@
         let work = Work {
             cpu: spec.steps[0].need.cpu,
             span: Millis(run_ms),
-            fails: false,
+            fate: Fate::Succeeds,
         };
         self.work.insert(spec.id.clone(), work);
         let time = self.time();
@@ -348,16 +378,34 @@
         }
     }
 
+    /// Returns whether an order reaches a minion whose process is down.
+    fn is_down(&self, order: &Message) -> bool {
+        let to = match order {
+            Message::Start(_, order) => &order.minion,
+            Message::Stop(_, order) => &order.minion,
+            Message::Hold(_, id, _) => id,
+            _ => return false,
+        };
+        self.minions[to].is_down()
+    }
+
     fn deliver(&mut self, at: u64, message: Message) {
         if self.is_gone(&message) {
             return;
         }
+        if self.is_down(&message) {
+            self.enqueue(200, unanswered(&message));
+            return;
+        }
         let now = self.now;
         let time = self.time();
         match message {
             Message::Start(owner, order) => {
                 let mut work = self.work[&order.task.job().unwrap()];
                 work.span = self.variation.apply(&order.task, work.span);
+                work.fate = self.fates.get(&order.task).copied().unwrap_or_default();
+                let started = self.started_on.entry(order.task.clone()).or_default();
+                started.push(order.minion.clone());
                 let minion = self.minions.get_mut(&order.minion).unwrap();
                 let reply = minion.start(&order, work, now);
                 self.starts += 1;
@@ -372,7 +420,10 @@
                         reply,
                     )
                 };
-                self.send_answer(at, started(reply), started(StartReply::NoAnswer));
+                match reply {
+                    StartReply::NoAnswer => self.enqueue(200, started(reply)),
+                    reply => self.send_answer(at, started(reply), started(StartReply::NoAnswer)),
+                }
             }
             Message::Stop(owner, order) => {
                 let minion = self.minions.get_mut(&order.minion).unwrap();
@@ -436,6 +487,9 @@
         for minion in self.minions.values_mut() {
             minion.advance(now);
         }
+        if now.is_multiple_of(400) {
+            self.publish_register();
+        }
         let later = self.queue.split_off(&(now + 1, 0));
         let due = std::mem::replace(&mut self.queue, later);
         for ((at, _), message) in due {
--- a/components/soak/src/load.rs
+++ b/components/soak/src/load.rs
@@ -10,7 +10,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use standins::{LeasedFleet, Work};
+use standins::{Fate, LeasedFleet, Work};
 use std::net::SocketAddr;
 
 use crate::records::{Attempt, JobRecords};
@@ -214,7 +214,10 @@
         let kind = KINDS.choose_weighted(rng, |k| k.2);
         let (tasks, span, _) = kind.copied().unwrap_or(KINDS[0]);
         let work = Work {
-            fails: rng.random_bool(0.01),
+            fate: match rng.random_bool(0.01) {
+                true => Fate::Fails,
+                false => Fate::Succeeds,
+            },
             ..Work::new(TASK_CORES, Millis(span))
         };
         let estimate = span as f64 * rng.random_range(0.6..1.4);
--- a/components/standins/src/leased.rs
+++ b/components/standins/src/leased.rs
@@ -11,7 +11,7 @@
     TaskName,
 };
 
-use crate::work::Work;
+use crate::work::{Fate, Work};
 
 /// Time that a stop takes.
 const STOP_TIME: Millis = Millis(50);
@@ -19,6 +19,9 @@
 /// Longest lease that is granted.
 const MAX_LEASE: Millis = Millis(1_000);
 
+/// Time for which a crashed minion is down.
+const CRASH_TIME: Millis = Millis(3_000);
+
 /// Maximum number of ended runs in one listing.
 const MAX_ENDS: usize = 500;
 
@@ -53,6 +56,8 @@
     lease: u64,
     /// The time at which the process started.
     started: u64,
+    /// The time at which the process starts again, while it is down.
+    down_until: Option<u64>,
     running: BTreeMap<(TaskName, RunNumber), LeasedRun>,
     /// The highest run number of each task that ended or was stopped.
     last_ended: BTreeMap<TaskName, RunNumber>,
@@ -73,6 +78,7 @@
             fence: 0,
             lease: 0,
             started: 0,
+            down_until: None,
             running: BTreeMap::new(),
             last_ended: BTreeMap::new(),
             ended: Vec::new(),
@@ -112,8 +118,23 @@
         self.clock_rate = rate;
     }
 
+    /// Ends the minion's process. It answers no order until it is back.
+    pub fn crash(&mut self, now: u64) {
+        self.running.clear();
+        self.ended.clear();
+        self.down_until = Some(now + CRASH_TIME.0);
+    }
+
+    /// Returns whether the minion's process is down, so that orders get no answer.
+    pub fn is_down(&self) -> bool {
+        self.down_until.is_some()
+    }
+
     /// Advances the minion to `now` and returns the runs that ended.
     pub fn advance(&mut self, now: u64) -> Vec<End> {
+        if self.down_until.is_some_and(|until| now >= until) {
+            self.restart(now);
+        }
         let lapsed = self.clock(now).0 > self.lease;
         let end_kind = |run: &LeasedRun| {
             let done = now >= run.done_at;
@@ -162,8 +183,11 @@
         self.lease = self.lease.max(until.min(max).0);
     }
 
-    /// Executes a start order.
+    /// Executes a start order. One whose task crashes the minion gets no answer.
     pub fn start(&mut self, order: &StartOrder, work: Work, now: u64) -> StartReply {
+        if self.is_down() {
+            return StartReply::NoAnswer;
+        }
         let clock = self.clock(now);
         if order.fence.0 < self.fence {
             return StartReply::Fenced;
@@ -181,12 +205,19 @@
         if last.is_some_and(|last| order.run <= *last) {
             return StartReply::Old(clock);
         }
+        if work.fate == Fate::Crashes {
+            self.crash(now);
+            return StartReply::NoAnswer;
+        }
         let span = work.span.0 as f64 * self.slowness;
         let run = LeasedRun {
             need: work.need(),
-            done_at: now + span as u64,
+            done_at: match work.fate {
+                Fate::Hangs => u64::MAX,
+                _ => now + span as u64,
+            },
             stop_at: None,
-            fails: work.fails || self.fail_all,
+            fails: work.fate == Fate::Fails || self.fail_all,
         };
         self.running.insert(key, run);
         StartReply::Accepted(clock)
--- a/components/standins/src/leased_fleet.rs
+++ b/components/standins/src/leased_fleet.rs
@@ -245,6 +245,12 @@
         state.minions.values().map(|m| m.running().len()).sum()
     }
 
+    /// Returns whether a minion's process is down, so that it answers nothing.
+    pub fn is_down(&self, id: &MinionId) -> bool {
+        let (state, _) = self.advance();
+        state.minions.get(id).is_some_and(LeasedMinion::is_down)
+    }
+
     /// Executes a start order.
     ///
     /// # Errors
@@ -260,9 +266,10 @@
             return Ok(StartReply::Malformed);
         };
         let minion = state.minion(&order.minion)?;
-        let before = minion.running().len();
+        let before = (minion.running().len(), minion.is_down());
         let reply = minion.start(order, work, now);
-        if minion.running().len() > before {
+        let crashed = minion.is_down() && !before.1;
+        if crashed || minion.running().len() > before.0 {
             state.starts.push(RunStart {
                 task: order.task.clone(),
                 run: order.run,
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -27,4 +27,4 @@
 pub use relay::{DatagramRelay, Relay};
 pub use respond::{empty, json};
 pub use table::{Endpoint, Hops, Site};
-pub use work::{Work, WorkError};
+pub use work::{Fate, Work, WorkError};
--- a/components/standins/src/work.rs
+++ b/components/standins/src/work.rs
@@ -12,7 +12,7 @@
 /// Error from parsing a payload.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WorkError {
-    /// The text doesn't have the form `MILLICORES SPAN [fails]`.
+    /// The text doesn't have the form `MILLICORES SPAN [FATE]`.
     Form,
     /// The amount of CPU or the run time is invalid.
     Number(UnitError),
@@ -21,7 +21,12 @@
 impl fmt::Display for WorkError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            WorkError::Form => write!(f, "expected `MILLICORES SPAN` or `MILLICORES SPAN fails`"),
+            WorkError::Form => {
+                write!(
+                    f,
+                    "expected `MILLICORES SPAN` and `fails`, `hangs` or `crashes`"
+                )
+            }
             WorkError::Number(e) => write!(f, "{e}"),
         }
     }
@@ -29,6 +34,32 @@
 
 impl std::error::Error for WorkError {}
 
+/// What becomes of a run unless it is stopped first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Fate {
+    /// It is done after its run time.
+    #[default]
+    Succeeds,
+    /// It fails after its run time.
+    Fails,
+    /// It never ends by itself.
+    Hangs,
+    /// The minion's process ends at its start.
+    Crashes,
+}
+
+impl Fate {
+    /// Returns the word in a payload, empty for success.
+    fn word(self) -> &'static str {
+        match self {
+            Fate::Succeeds => "",
+            Fate::Fails => "fails",
+            Fate::Hangs => "hangs",
+            Fate::Crashes => "crashes",
+        }
+    }
+}
+
 /// The resources and run time of a task and how it ends, written as its payload:
 /// `14000 60ms` or `14000 60ms fails`. The minion counts its used capacity from
 /// the payload, independently of what the dispatcher counts.
@@ -38,8 +69,8 @@
     pub cpu: MilliCores,
     /// The run time on a minion of normal speed.
     pub span: Millis,
-    /// Whether the task fails at its end.
-    pub fails: bool,
+    /// How the task ends.
+    pub fate: Fate,
 }
 
 impl Work {
@@ -48,7 +79,7 @@
         Work {
             cpu: MilliCores(cores * 1_000),
             span,
-            fails: false,
+            fate: Fate::Succeeds,
         }
     }
 
@@ -64,8 +95,11 @@
 
 impl fmt::Display for Work {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let fails = if self.fails { " fails" } else { "" };
-        write!(f, "{} {}{fails}", self.cpu, self.span)
+        write!(f, "{} {}", self.cpu, self.span)?;
+        match self.fate {
+            Fate::Succeeds => Ok(()),
+            fate => write!(f, " {}", fate.word()),
+        }
     }
 }
 
@@ -76,15 +110,18 @@
         let mut words = s.split(' ');
         let cpu = words.next().ok_or(WorkError::Form)?;
         let span = words.next().ok_or(WorkError::Form)?;
-        let fails = match words.next() {
-            None => false,
-            Some("fails") => true,
-            Some(_) => return Err(WorkError::Form),
+        let fates = [Fate::Fails, Fate::Hangs, Fate::Crashes];
+        let fate = match words.next() {
+            None => Fate::Succeeds,
+            Some(word) => *fates
+                .iter()
+                .find(|f| f.word() == word)
+                .ok_or(WorkError::Form)?,
         };
         Ok(Work {
             cpu: cpu.parse().map_err(WorkError::Number)?,
             span: span.parse().map_err(WorkError::Number)?,
-            fails,
+            fate,
         })
     }
 }
--- a/tests/walks.rs
+++ b/tests/walks.rs
@@ -10,7 +10,7 @@
 use kernel::Millis;
 use platform_standin::{Answer, Caller, Job};
 use soak::{Fault, Shape, Site, lasting_queue};
-use standins::Work;
+use standins::{Fate, Work};
 
 const PAGE: &str = include_str!("../docs/OPERATIONS.md");
 
@@ -123,7 +123,7 @@
     assert_named("Failed by its minions", &lines);
     let scenario = Scenario::start("failed").await;
     let fails = Work {
-        fails: true,
+        fate: Fate::Fails,
         ..work(30)
     };
     assert_eq!(scenario.submit(0, 2, 2, fails).await, Answer::Failed);
