Record the runs that are lost with their minions, and give up tasks that crash them

What callers saw: a job with a task that crashes its minions waited until its deadline while minions went down one after another, and jobs beside it were lost or refused. Cause: a run that ended with its minion was not counted anywhere; the task waited again as if it had never been started. Change: CrashRecord and CrashLog with a verdict on each start; suspects run alone; a task is given up after two proved crashes, one of them alone, or three losses; records are shared by heartbeats, calls and handovers (docs/design/crashes.md). The silence of a minion that was handed over is now a loss too. Conclusion: at most 3 starts of a task at one owner; the count outlasts the owner.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -14,6 +14,7 @@
 
 use crate::control::Minions;
 use crate::core::{Core, lock};
+use crate::crashes;
 use crate::drive;
 use crate::evacuation;
 use crate::first_reads::read_configuration;
@@ -69,6 +70,7 @@
             core.metrics.add(Count::EvidenceRefused, 1);
             log::warn!(from:% = from.addr, error:% = e; "reported run times refused");
         }
+        crashes::learn(&core, &heartbeat.crashes);
         let changes = core.peers().receive(heartbeat, core.now());
         apply_changes(&core, changes);
         if new && from.addr != core.cfg.peer_addr {
@@ -103,6 +105,7 @@
         let changes = core.peers().tick(&shards, now);
         let found = core.room_found.swap(false, Ordering::Relaxed);
         let urgent = found || changes.iter().any(Change::is_own);
+        let urgent = urgent || lock(&core.crashes).is_urgent(now);
         apply_changes(&core, changes);
         for owned in core.owned.load().values() {
             tick_shard(&core, owned, now);
@@ -111,6 +114,7 @@
             last_periodic = now;
             set_gauges(&core, now);
             evacuation::set_gauges(&core);
+            crashes::maintain(&core, now);
             meter.update(&core, now);
             pull_configuration(&core, now);
             evacuation::pull(&core, now);
@@ -246,6 +250,7 @@
     };
     let owned = Owned::new(shard.clone(), core.cfg.schedule.clone(), take_policy);
     learn_run_times(core, &owned);
+    crashes::inform(core, &owned);
     install(core, &owned);
     drive::sync_register(core, &owned);
     owned
@@ -340,6 +345,7 @@
         known: peers.addrs().choose_multiple(&mut rand::rng(), known),
         evacuations: core.evacuations.load().as_of(),
         evidence: EvidenceReport::default(),
+        crashes: Vec::new(),
     }
 }
 
--- a/components/engine/src/calls.rs
+++ b/components/engine/src/calls.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use kernel::Millis;
 use ownership::Shard;
-use schedule::{JobId, JobSpec, Load, MinionInfo, Outcome, Transfer};
+use schedule::{CrashRecord, JobId, JobSpec, Load, MinionInfo, Outcome, Transfer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wire::{CallError, CodecError, Handler, Reply, decode, encode, read_body};
@@ -20,7 +20,7 @@
 use crate::core::Core;
 use crate::evacuation::Evacuations;
 use crate::model::Configuration;
-use crate::{handover, here, owned};
+use crate::{crashes, handover, here, owned};
 
 /// Path of calls that run a job on an owned shard.
 const JOBS: &str = "/v1/jobs";
@@ -57,6 +57,9 @@
     /// Action requested of the owner.
     #[serde(rename = "ask")]
     pub action: JobAction,
+    /// Losses under the job's tasks, as the owner may have started after them.
+    #[serde(default)]
+    pub crashes: Vec<CrashRecord>,
 }
 
 /// An action requested of a shard's owner.
@@ -281,6 +284,7 @@
             return JobReply::NotOwner;
         };
         self.0.peers().refresh(call.from, self.0.now());
+        crashes::learn(&self.0, &call.crashes);
         let from = Some(call.from);
         match call.action {
             JobAction::Run(spec) => here::run_local(&self.0, &owned, spec, from).await,
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -13,6 +13,7 @@
 use wire::{Client, TcpConnect};
 
 use crate::config::EngineConfig;
+use crate::crashes::Crashes;
 use crate::evacuation::Evacuations;
 use crate::model::Configuration;
 use crate::owned::Owned;
@@ -43,6 +44,8 @@
     pub peers: Mutex<Peers>,
     /// Run times that other owners have reported.
     pub evidence: Mutex<Reports>,
+    /// Runs that were lost with their minions, as far as this VM knows.
+    pub crashes: Mutex<Crashes>,
     /// Generator of fencing tokens.
     pub tokens: Mutex<Tokens>,
     /// Number of jobs that each other VM runs for this one.
--- /dev/null
+++ b/components/engine/src/crashes.rs
@@ -0,0 +1,130 @@
+//! Shares the records of runs that were lost with their minions among all VMs, so
+//! that a task that crashes its minions is known wherever its job is submitted or
+//! run again (docs/design/crashes.md).
+
+use kernel::{Millis, Timestamp};
+use metrics::{Count, Gauge};
+use schedule::{CrashLog, CrashRecord, JobId, LossState};
+
+use crate::core::{Core, lock};
+use crate::owned::Owned;
+
+/// Maximum number of records in a heartbeat.
+const MAX_NEWS: usize = 24;
+
+/// Number of heartbeats to all VMs that carry a record, as some may be lost.
+const SENDINGS: u8 = 2;
+
+/// Shortest time between heartbeats to all VMs because of new records.
+const NEWS_INTERVAL: Millis = Millis(100);
+
+/// The records that this VM knows, and those that it has to tell.
+#[derive(Debug, Default)]
+pub(crate) struct Crashes {
+    /// All records.
+    pub log: CrashLog,
+    /// Records of this VM's shards that other VMs may not know yet, with the
+    /// number of times that they are still sent to all.
+    news: Vec<(CrashRecord, u8)>,
+    /// Time at which news were last sent to all VMs.
+    sent: Timestamp,
+}
+
+impl Crashes {
+    /// Returns whether news are to be sent to all VMs at once.
+    pub fn is_urgent(&self, now: Timestamp) -> bool {
+        !self.news.is_empty() && now.since(self.sent) >= NEWS_INTERVAL
+    }
+
+    /// Returns the news for a heartbeat.
+    pub fn news(&self) -> Vec<CrashRecord> {
+        let news = self.news.iter().take(MAX_NEWS);
+        news.map(|(record, _)| record.clone()).collect()
+    }
+
+    /// Records that the news of a heartbeat were sent to all VMs.
+    pub fn record_sent(&mut self, now: Timestamp) {
+        self.sent = now;
+        for (_, left) in self.news.iter_mut().take(MAX_NEWS) {
+            *left -= 1;
+        }
+        self.news.retain(|(_, left)| *left > 0);
+    }
+}
+
+/// Handles a record of a shard of this VM: logs it and keeps it for the other
+/// shards and VMs.
+pub(crate) fn publish<M>(core: &Core<M>, owned: &Owned, record: CrashRecord) {
+    match record.state {
+        LossState::Suspected => {}
+        LossState::Confirmed => {
+            core.metrics.add(Count::CrashConfirmed, 1);
+            log::warn!(task:% = record.task, minion:% = record.minion, shard:% = owned.shard(),
+                alone = record.alone; "minion crashed under a task");
+        }
+        LossState::Cleared => {
+            log::info!(task:% = record.task, minion:% = record.minion, shard:% = owned.shard();
+                "lost minion answers again, no crash");
+        }
+    }
+    learn(core, std::slice::from_ref(&record));
+    lock(&core.crashes).news.push((record, SENDINGS));
+}
+
+/// Adds records to those that this VM and the schedulers of its shards know.
+pub(crate) fn learn<M>(core: &Core<M>, records: &[CrashRecord]) {
+    if records.is_empty() {
+        return;
+    }
+    let now = core.now();
+    let new: Vec<_> = {
+        let log = &mut lock(&core.crashes).log;
+        let records = records.iter();
+        records
+            .filter(|r| log.add(CrashRecord::clone(r), now))
+            .collect()
+    };
+    if new.is_empty() {
+        return;
+    }
+    for owned in core.owned.load().values() {
+        let mut state = owned.lock();
+        for record in &new {
+            state.scheduler.learn_crash(CrashRecord::clone(record), now);
+        }
+    }
+}
+
+/// Gives a new owner's scheduler all records.
+pub(crate) fn inform<M>(core: &Core<M>, owned: &Owned) {
+    let now = core.now();
+    let records: Vec<_> = lock(&core.crashes).log.records().cloned().collect();
+    let mut state = owned.lock();
+    for record in records {
+        state.scheduler.learn_crash(record, now);
+    }
+}
+
+/// Returns the records of a job, for the owner that it is sent to.
+pub(crate) fn of_job<M>(core: &Core<M>, job: &JobId) -> Vec<CrashRecord> {
+    lock(&core.crashes).log.of_job(job)
+}
+
+/// Returns whether a task of the job is given up, so that it must not be run.
+pub(crate) fn is_poison<M>(core: &Core<M>, job: &JobId) -> bool {
+    let now = core.now();
+    let crashes = lock(&core.crashes);
+    let poison = crashes.log.poison_of(job, now);
+    if let Some(task) = poison {
+        log::info!(job:% = job, task:% = task; "job failed: it has a task that was given up");
+    }
+    poison.is_some()
+}
+
+/// Drops records that are too old, and sets the gauge.
+pub(crate) fn maintain<M>(core: &Core<M>, now: Timestamp) {
+    let crashes = &mut lock(&core.crashes);
+    crashes.log.expire(now);
+    core.metrics
+        .set(Gauge::CrashRecords, crashes.log.records().count() as u64);
+}
--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -17,6 +17,7 @@
 
 use crate::control::{HoldReply, Minions, StopReply};
 use crate::core::{Core, lock};
+use crate::crashes;
 use crate::first_jobs::record_held;
 use crate::owned::{Ending, Owned, State, TakePolicy};
 use crate::startup::Step;
@@ -75,6 +76,11 @@
                     shard:% = owned.shard(), born = loss.born, beside = loss.beside,
                     cause:? = loss.cause; "run lost with its minion");
             }
+            Action::Crash(record) => crashes::publish(core, owned, record),
+            Action::GivenUp(task) => {
+                core.metrics.add(Count::TaskGivenUp, 1);
+                log::warn!(task:% = task, shard:% = owned.shard(); "task given up: minions crashed under it");
+            }
             Action::Hung(id, task, run) => {
                 log::warn!(task:% = task, run = run.0, minion:% = id; "hung run stopped");
             }
@@ -280,7 +286,7 @@
             continue;
         }
         let fence = lock(&core.tokens).mint();
-        scheduler.register(info.clone(), fence);
+        scheduler.register(info.clone(), fence, core.now());
     }
     for id in scheduler.minion_ids() {
         if !listed.contains(&id) {
@@ -334,7 +340,7 @@
                 if status == HoldResult::Restarted {
                     let fence = lock(&core.tokens).mint();
                     log::info!(minion:% = id, born = born; "minion restarted");
-                    owned.lock().scheduler.restarted(&id, born, fence);
+                    owned.lock().scheduler.restarted(&id, born, fence, now);
                 }
                 if status == HoldResult::Taken {
                     log::info!(minion:% = id, fence = order.fence.0, tries = tries; "minion held");
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -118,6 +118,7 @@
             owned: ArcSwap::default(),
             peers: Mutex::new(peers),
             evidence: Mutex::default(),
+            crashes: Mutex::default(),
             tokens: Mutex::new(tokens),
             remote_jobs: Mutex::new(HashMap::default()),
             room_found: AtomicBool::new(false),
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -12,6 +12,7 @@
 use crate::calls::{Handover, call_handover};
 use crate::control::Minions;
 use crate::core::{Core, lock};
+use crate::crashes;
 use crate::drive;
 use crate::evacuation::{self, Evacuations};
 use crate::owned::{Owned, TakePolicy, Waiter};
@@ -146,6 +147,7 @@
     first.set_shard(kept.clone());
     let second = Owned::new(fresh.clone(), core.cfg.schedule.clone(), TakePolicy::All);
     beats::learn_run_times(core, &second);
+    crashes::inform(core, &second);
     core.owned.rcu(|all| {
         let mut all = HashMap::clone(all);
         all.remove(&shard);
@@ -205,6 +207,7 @@
             }
         }
     }
+    crashes::inform(core, &owned);
     beats::install(core, &owned);
     drive::sync_register(core, &owned);
 }
--- a/components/engine/src/here.rs
+++ b/components/engine/src/here.rs
@@ -50,6 +50,10 @@
         if !state.live {
             return JobReply::NotOwner;
         }
+        if state.scheduler.is_poison(&id, now) {
+            log::info!(job:% = id, shard:% = owned.shard(); "job failed: a task of it was given up");
+            return JobReply::Ended(Outcome::Failed);
+        }
         if state.scheduler.knows(&id) {
             // A caller that submits a job again no longer waits for the first
             // submission.
--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 mod control;
 mod core;
+mod crashes;
 mod drive;
 mod engine;
 mod evacuation;
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -13,6 +13,7 @@
 use crate::calls::{JobAction, JobCall, JobReply, call_job};
 use crate::control::Minions;
 use crate::core::{Core, lock};
+use crate::crashes;
 use crate::first_jobs::{await_minions, latest_begin, shorten_retry};
 use crate::here::{resume_local, run_local};
 use crate::owned::Ending;
@@ -171,6 +172,9 @@
 /// when owners hold more minions.
 async fn run_once<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Outcome {
     let start = core.now();
+    if crashes::is_poison(core, &spec.id) {
+        return Outcome::Failed;
+    }
     let began = core.peers().starting(start);
     await_owner(core, &spec, start).await;
     loop {
@@ -323,6 +327,7 @@
         shard: shard.clone(),
         from: core.cfg.peer_addr,
         action,
+        crashes: crashes::of_job(core, &id),
     };
     let called = core.now();
     let interval = core.cfg.ownership.heartbeat_interval.duration();
--- a/components/engine/src/timetable.rs
+++ b/components/engine/src/timetable.rs
@@ -79,6 +79,7 @@
             }
         };
         heartbeat.interval = interval;
+        heartbeat.crashes = lock(&core.crashes).news();
         let evidence = own_evidence(core, now);
         let to_all = self.last_all == now && now.since(self.evidence_all) >= EVIDENCE_ALL;
         if to_all {
@@ -95,6 +96,9 @@
         heartbeat.known.clear();
         let wanted: Vec<_> = wanted.into_iter().collect();
         send_to(core, &heartbeat, &wanted).await;
+        if self.last_all == now {
+            lock(&core.crashes).record_sent(now);
+        }
     }
 }
 
--- a/components/engine/tests/crashing_task.rs
+++ b/components/engine/tests/crashing_task.rs
@@ -4,11 +4,12 @@
 
 use std::time::Duration;
 
-use common::{Site, eventually, job, pair};
+use common::{Site, eventually, free_port, job, pair, vm};
 use engine::{Engine, Outcome};
 use kernel::Millis;
 use schedule::JobSpec;
 use standins::{Fate, Work};
+use tokio::runtime::Builder;
 
 /// Returns a job of one task that crashes the minions that start it.
 fn deadly(number: u64) -> JobSpec {
@@ -26,7 +27,7 @@
 /// Passes the register to the VMs every 200 ms, as restarted minions write their
 /// entries anew.
 fn follow_register(site: &Site, vms: &[&Engine<Site>]) {
-    let vms: Vec<_> = vms.iter().map(|vm| Engine::clone(vm)).collect();
+    let vms: Vec<_> = vms.iter().copied().cloned().collect();
     let site = site.clone();
     tokio::spawn(async move {
         loop {
@@ -56,3 +57,41 @@
     eventually("minions back", || a.ready() && b.ready()).await;
     assert_eq!(site.violations(), []);
 }
+
+/// Guards against crashes that are forgotten when the owner that recorded them is
+/// killed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn owner_killed() {
+    let site = Site::new(&[32; 8]);
+    let port = free_port();
+    // The first VM has its own runtime, whose shutdown simulates a killed
+    // process.
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let first = site.clone();
+    let a = runtime.spawn(async move { vm(1, port, &first).await });
+    let a = a.await.unwrap();
+    eventually("shard taken", || a.owns()).await;
+    let b = vm(2, port, &site).await;
+    eventually("owner known", || b.ready()).await;
+    follow_register(&site, &[&b]);
+    let spec = deadly(1);
+    let call = {
+        let (b, spec) = (b.clone(), spec.clone());
+        tokio::spawn(async move { b.submit(spec).await })
+    };
+    eventually("started twice", || site.starts_of(&spec) == 2).await;
+    drop(a);
+    runtime.shutdown_background();
+    eventually("shard taken over", || b.owns()).await;
+    let outcome = call.await.unwrap();
+    assert_eq!(outcome, Outcome::Failed);
+    // The loss of the second run was not yet known when its owner was killed.
+    let starts = site.starts_of(&spec);
+    assert!(starts <= 4, "{starts} starts");
+    assert_eq!(b.submit(spec.clone()).await, Outcome::Failed);
+    assert_eq!(site.starts_of(&spec), starts);
+}
--- a/components/entry/src/gauges.rs
+++ b/components/entry/src/gauges.rs
@@ -64,6 +64,7 @@
         | Gauge::EvacuationOffset
         | Gauge::ShardsUneven
         | Gauge::SpeedContrast
+        | Gauge::CrashRecords
         | Gauge::HeartbeatAge => 0,
     };
     value as u64
--- a/components/metrics/src/name.rs
+++ b/components/metrics/src/name.rs
@@ -69,6 +69,8 @@
         JobOffered, "jobs.offered", "Offers of a refused job to another shard with room for it.";
         StartUntaken, "starts.untaken", "Starts that a minion did not accept.";
         RunLost, "runs.lost", "Runs that ended with their minion, without a report of their end.";
+        CrashConfirmed, "runs.crashed", "Runs lost with a minion that has restarted since.";
+        TaskGivenUp, "tasks.given_up", "Tasks given up because minions crashed under them.";
         RunStopped, "runs.stopped", "Stops sent for runs.";
         HoldMissed, "holds.missed", "Holds that a minion did not answer.";
         MinionFenced, "minions.fenced", "Orders that a minion refused because of their fencing token.";
@@ -94,6 +96,7 @@
         TasksRunning, "tasks.running", "Tasks sent to minions and not yet answered.";
         MinionsEjected, "minions.out", "Minions that are ejected now.";
         MinionsLeaving, "minions.leaving", "Minions that are leaving.";
+        CrashRecords, "crashes.records", "Runs lost with their minions that this VM keeps records of.";
         ShardsUneven, "shards.uneven", "Shards of this VM whose tasks are placed by their predicted end, as kinds of minions differ in speed.";
         SpeedContrast, "minions.speed_contrast", "Mean run time on the slowest kind of minion in percent of that on the fastest, 100 if kinds do not differ.";
         PeersLive, "peers.live", "Peers that this VM considers live.";
--- a/components/ownership/src/heartbeat.rs
+++ b/components/ownership/src/heartbeat.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use kernel::{Domain, Epoch, Incarnation, Millis, Offset};
-use schedule::{EvidenceReport, Load};
+use schedule::{CrashRecord, EvidenceReport, Load};
 use serde::{Deserialize, Serialize};
 
 use crate::shard::Shard;
@@ -84,4 +84,8 @@
     /// none.
     #[serde(default)]
     pub evidence: EvidenceReport,
+    /// New records of runs that were lost with their minions. Most heartbeats have
+    /// none.
+    #[serde(default)]
+    pub crashes: Vec<CrashRecord>,
 }
--- a/components/ownership/tests/cold_start.rs
+++ b/components/ownership/tests/cold_start.rs
@@ -201,6 +201,7 @@
             known: addrs,
             evacuations: Offset(0),
             evidence: schedule::EvidenceReport::default(),
+            crashes: Vec::new(),
         }
     }
 
@@ -503,6 +504,7 @@
         known: Vec::new(),
         evacuations: Offset(0),
         evidence: schedule::EvidenceReport::default(),
+        crashes: Vec::new(),
     }
 }
 
--- a/components/ownership/tests/intervals.rs
+++ b/components/ownership/tests/intervals.rs
@@ -86,6 +86,7 @@
         known: Vec::new(),
         evacuations: Offset(0),
         evidence: EvidenceReport::default(),
+        crashes: Vec::new(),
     };
     peers.receive(heartbeat, at(0));
     let lost = Change::OwnerLost(shard, owner.addr);
@@ -113,6 +114,7 @@
         known: vec![[10, 0, 0, 2].into()],
         evacuations: Offset(0),
         evidence: EvidenceReport::default(),
+        crashes: Vec::new(),
     };
     peers.receive(heard, at(1));
     // The VM that was heard needs no greeting, a known one no second.
--- a/components/schedule/src/action.rs
+++ b/components/schedule/src/action.rs
@@ -5,6 +5,7 @@
 
 use kernel::{Fence, LeaseTime, Millis, MinionId, RunNumber};
 
+use crate::crash::CrashRecord;
 use crate::ids::{JobId, TaskName};
 use crate::job::{Outcome, Summary};
 use crate::minion::EndKind;
@@ -85,6 +86,10 @@
     Failed(MinionId, TaskName, RunNumber, EndKind),
     /// A run was lost with its minion; for logs.
     Lost(RunLoss),
+    /// A loss was recorded, or its state has changed; for all VMs.
+    Crash(CrashRecord),
+    /// A task is given up because minions crashed under it; for logs.
+    GivenUp(TaskName),
     /// A run exceeded its time limit and is being stopped; for logs.
     Hung(MinionId, TaskName, RunNumber),
     /// The measured speeds of the kinds of minions have begun or ceased to differ
--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -25,7 +25,7 @@
 
 /// Number of consecutive unanswered holds after which a minion counts as silent
 /// and its lease is no longer renewed; single ones get lost now and then.
-const SILENT_MISSES: u32 = 3;
+pub(crate) const SILENT_MISSES: u32 = 3;
 
 /// Time after an unanswered hold during which the next ones use the short wait.
 /// A lost answer is noticed only when the wait has passed.
@@ -110,6 +110,7 @@
         if minion.fence != refused {
             return false;
         }
+        minion.missed_holds = 0;
         let taken = minion.hold_state != HoldState::Pending;
         if taken {
             minion.contest.record_loss(rightful, now);
@@ -121,8 +122,8 @@
 
     /// Resets a minion whose process has restarted. It gets no work until the
     /// register reports its size.
-    pub fn restarted(&mut self, id: &MinionId, born: u64, fence: Fence) {
-        self.reset_minion(id);
+    pub fn restarted(&mut self, id: &MinionId, born: u64, fence: Fence, now: Timestamp) {
+        self.reset_minion(id, now);
         if let Some(minion) = self.minions.get_mut(id) {
             minion.info.born = born;
             minion.info.draining = true;
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -269,10 +269,16 @@
         self.hold_state == HoldState::Held
             && !self.info.draining
             && !self.full
+            && !self.is_probed()
             && !probed
             && !self.health.is_ejected(now)
     }
 
+    /// Returns whether the minion is kept for a single run that may crash it.
+    pub fn is_probed(&self) -> bool {
+        self.runs.iter().any(|r| r.alone)
+    }
+
     /// Returns a run of the minion.
     pub fn run_mut(&mut self, task: &TaskName, number: RunNumber) -> Option<&mut Run> {
         self.runs
@@ -354,6 +360,7 @@
             baseline: Millis(0),
             typical: Millis(0),
             expected: Millis(0),
+            alone: false,
             confirmed: None,
             start_limit: LeaseTime(0),
             stop_sent: None,
--- a/components/schedule/src/place.rs
+++ b/components/schedule/src/place.rs
@@ -110,6 +110,13 @@
     pace: f64,
 }
 
+impl Candidate<'_> {
+    /// Returns whether nothing is or will be running on the minion.
+    fn is_idle(&self) -> bool {
+        self.minion.runs.is_empty() && self.placed == 0
+    }
+}
+
 impl<'a> Candidates<'a> {
     /// Returns the minions that may take work at `now`.
     pub fn new(minions: &'a HashMap<MinionId, Minion>, now: Timestamp) -> Candidates<'a> {
@@ -164,17 +171,24 @@
 
     /// Assigns a task to the minion with the lowest cost and returns the
     /// minion's id, or `None` if the task fits nowhere.
-    pub fn assign(&mut self, step: &Step, service: &Service, tightness: f64) -> Option<MinionId> {
+    pub fn assign(
+        &mut self,
+        step: &Step,
+        service: &Service,
+        tightness: f64,
+        alone: bool,
+    ) -> Option<MinionId> {
         let best = self
             .candidates
             .iter()
             .enumerate()
+            .filter(|(_, c)| !alone || c.is_idle())
             .filter(|(_, c)| c.minion.info.service == *service)
             .filter(|(_, c)| step.need.fits(&c.free))
             .filter(|(_, c)| permits(c, step))
             .min_by(|(_, a), (_, b)| cost(a, step, tightness).total_cmp(&cost(b, step, tightness)))
             .map(|(i, _)| i)?;
-        Some(self.take(best, step))
+        Some(self.take(best, step, alone))
     }
 
     /// Assigns a task to the minion with the lowest cost by its predicted end, or
@@ -184,6 +198,7 @@
         step: &Step,
         service: &Service,
         task: &TaskForecast<'_>,
+        alone: bool,
     ) -> Choice {
         let prices = task.prices(self.rooms.iter().map(Room::used));
         let kind_costs = prices.zip(task.delays());
@@ -196,6 +211,7 @@
         };
         let fits = self.candidates.iter().enumerate();
         let fits = fits
+            .filter(|(_, c)| !alone || c.is_idle())
             .filter(|(_, c)| c.minion.info.service == *service)
             .filter(|(_, c)| step.need.fits(&c.free))
             .filter(|(_, c)| permits(c, step));
@@ -215,7 +231,7 @@
         if let Some(room) = self.rooms.get_mut(kind) {
             room.free -= f64::from(step.need.cpu.0);
         }
-        Choice::Start(self.take(best, step), risk)
+        Choice::Start(self.take(best, step, alone), risk)
     }
 
     /// Returns the kind without room for which a task should wait, because its
@@ -237,13 +253,14 @@
         (saved > WAIT_GAIN.max(task.mean_gain())).then_some(kind)
     }
 
-    /// Adds a task to a candidate and returns the minion's id.
-    fn take(&mut self, best: usize, step: &Step) -> MinionId {
+    /// Adds a task to a candidate and returns the minion's id. The minion gets
+    /// nothing else if the task runs alone.
+    fn take(&mut self, best: usize, step: &Step, alone: bool) -> MinionId {
         let candidate = &mut self.candidates[best];
         candidate.free = candidate.free.without(&step.need);
         candidate.placed += 1;
         let id = candidate.minion.info.id.clone();
-        if candidate.free.cpu.0 == 0 || candidate.minion.health.probing {
+        if alone || candidate.free.cpu.0 == 0 || candidate.minion.health.probing {
             self.candidates.swap_remove(best);
         }
         id
--- a/components/schedule/src/run.rs
+++ b/components/schedule/src/run.rs
@@ -42,6 +42,9 @@
     pub typical: Millis,
     /// Expected run time on this minion.
     pub expected: Millis,
+    /// True if nothing else is started on the minion meanwhile, because the task
+    /// may crash it.
+    pub alone: bool,
     /// The minion's clock when it last reported that it has the run.
     pub confirmed: Option<LeaseTime>,
     /// The minion's clock after which it no longer carries out the start.
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -7,6 +7,7 @@
 use crate::action::{Action, LossCause};
 use crate::admission::{Admission, Backlog, UNSERVABLE_RETRY, decide};
 use crate::config::ScheduleConfig;
+use crate::crash::CrashLog;
 use crate::demand::Demand;
 use crate::evacuation::EVACUATED_RETRY;
 use crate::evidence::Evidence;
@@ -69,6 +70,11 @@
     pub(crate) delay: Millis,
     /// True while the VM's link is busy.
     pub(crate) link_busy: bool,
+    /// Runs that were lost with their minions.
+    pub(crate) crashes: CrashLog,
+    /// Whether a task has been lost more than once lately, so that a loss is more
+    /// likely the task's fault than its minion's.
+    pub(crate) crashes_repeat: bool,
     /// Recent rate of admitted work, by priority.
     pub(crate) demand: Demand,
     pub(crate) actions: Vec<Action>,
@@ -93,6 +99,8 @@
             gain: 0.0,
             delay: Millis(0),
             link_busy: false,
+            crashes: CrashLog::default(),
+            crashes_repeat: false,
             demand: Demand::default(),
             actions: Vec::new(),
             frozen: false,
@@ -114,7 +122,7 @@
 
     /// Adds a minion under the token `fence`, or updates a known one. Returns
     /// true if the minion is new or its process has restarted.
-    pub fn register(&mut self, info: MinionInfo, fence: Fence) -> bool {
+    pub fn register(&mut self, info: MinionInfo, fence: Fence, now: Timestamp) -> bool {
         if let Some(minion) = self.minions.get_mut(&info.id) {
             if info.born <= minion.info.born {
                 // The register may be older than what the minion reported
@@ -124,7 +132,7 @@
                 }
                 return false;
             }
-            self.reset_minion(&info.id);
+            self.reset_minion(&info.id, now);
             if let Some(minion) = self.minions.get_mut(&info.id) {
                 minion.set_info(info);
                 minion.fence = fence;
@@ -360,11 +368,11 @@
     /// Resets a minion whose process has ended, and requeues the tasks that ran
     /// on it. A start that is still on its way may reach the new process, so
     /// such runs are kept until the first list under the new token.
-    pub(crate) fn reset_minion(&mut self, id: &MinionId) {
+    pub(crate) fn reset_minion(&mut self, id: &MinionId, now: Timestamp) {
+        self.record_losses(id, LossCause::Restarted, now);
         let Some(minion) = self.minions.get_mut(id) else {
             return;
         };
-        self.actions.extend(minion.losses(LossCause::Restarted));
         let mut state = Minion::new(minion.info.clone(), minion.fence);
         state.last_renewal = minion.last_renewal;
         state.contest = minion.contest;
--- a/components/schedule/src/start.rs
+++ b/components/schedule/src/start.rs
@@ -4,6 +4,7 @@
 use kernel::{MinionId, RunNumber, Timestamp};
 
 use crate::action::{Action, StartOrder, StopOrder};
+use crate::crash::Verdict;
 use crate::estimate::RunTimes;
 use crate::forecast::Forecast;
 use crate::ids::{JobId, TaskName};
@@ -13,6 +14,19 @@
 use crate::run::{Phase, Run};
 use crate::scheduler::Scheduler;
 
+/// A task and the minion on which it starts.
+#[derive(Debug)]
+struct Placement {
+    job: JobId,
+    /// Index of the task in the job.
+    index: usize,
+    minion: MinionId,
+    /// Part of the job's value that the start is expected to lose.
+    risk: f64,
+    /// Whether nothing else is started on the minion meanwhile.
+    alone: bool,
+}
+
 /// Number of blocked jobs that reserve a minion in each round; more would leave
 /// capacity idle that other jobs can use.
 const RESERVATIONS: usize = 2;
@@ -38,8 +52,12 @@
             candidates.use_forecast(&self.minions, &forecast, now);
             forecast
         });
-        let mut starts = Vec::new();
+        let mut placements = Vec::new();
         let mut blocked = 0;
+        let mut probes = match self.crashes.is_empty() {
+            true => 0,
+            false => self.probe_room(),
+        };
         for id in &self.queue {
             if candidates.is_empty() {
                 break;
@@ -53,28 +71,53 @@
             }
             let tightness = job.tightness(now);
             let mut worst = job.worst_risk();
+            let mut isolated_run = self.has_isolated_run(job, now);
             for index in job.runnable() {
-                let step = &job.spec.steps[usize::from(job.tasks[index].step)];
+                let task = &job.tasks[index];
+                let step = &job.spec.steps[usize::from(task.step)];
                 let service = &job.spec.service;
-                let choice = match &mut forecast {
+                let mut choose = |alone| match &mut forecast {
                     Some(forecast) => {
                         let task = forecast.task(job, index, worst);
                         let gain = task.gain();
-                        let choice = candidates.assign_by_end(step, service, &task);
+                        let choice = candidates.assign_by_end(step, service, &task, alone);
                         if matches!(choice, Choice::Start(..)) {
                             forecast.record_gain(gain);
                         }
                         choice
                     }
-                    None => match candidates.assign(step, service, tightness) {
+                    None => match candidates.assign(step, service, tightness, alone) {
                         Some(minion) => Choice::Start(minion, 0.0),
                         None => Choice::Full,
                     },
                 };
+                let verdict = self.crashes.verdict(&task.name, now);
+                let mut alone = verdict != Verdict::Clear && probes > 0;
+                let choice = match verdict {
+                    Verdict::OnHold(_) | Verdict::Poison => continue,
+                    Verdict::Isolated if !alone || isolated_run => continue,
+                    Verdict::Suspect if self.crashes_repeat && !alone => continue,
+                    Verdict::Suspect if !self.crashes_repeat => match choose(alone) {
+                        Choice::Full if alone => {
+                            alone = false;
+                            choose(alone)
+                        }
+                        choice => choice,
+                    },
+                    _ => choose(alone),
+                };
                 match choice {
                     Choice::Start(minion, risk) => {
                         worst = worst.max(risk);
-                        starts.push((id.clone(), index, minion, risk));
+                        probes = probes.saturating_sub(usize::from(alone));
+                        isolated_run |= verdict == Verdict::Isolated;
+                        placements.push(Placement {
+                            job: id.clone(),
+                            index,
+                            minion,
+                            risk,
+                            alone,
+                        });
                     }
                     Choice::Wait => {}
                     Choice::Full => {
@@ -90,8 +133,8 @@
         if let Some(forecast) = forecast {
             self.gain = forecast.gain();
         }
-        for (id, index, minion, risk) in starts {
-            self.start(&id, index, &minion, risk, now);
+        for placement in placements {
+            self.start(placement, now);
         }
     }
 
@@ -107,13 +150,20 @@
             .any(|r| r.task.job().as_ref() == Some(id))
     }
 
-    fn start(&mut self, id: &JobId, index: usize, on: &MinionId, risk: f64, now: Timestamp) {
+    fn start(&mut self, placement: Placement, now: Timestamp) {
+        let Placement {
+            job: id,
+            index,
+            minion: on,
+            risk,
+            alone,
+        } = placement;
         let RunTimes {
             baseline,
             typical,
             expected,
-        } = self.run_times(id, index, on);
-        let (Some(job), Some(minion)) = (self.jobs.get_mut(id), self.minions.get_mut(on)) else {
+        } = self.run_times(&id, index, &on);
+        let (Some(job), Some(minion)) = (self.jobs.get_mut(&id), self.minions.get_mut(&on)) else {
             return;
         };
         let Some(clock) = minion.clock_at(now) else {
@@ -137,6 +187,7 @@
             baseline,
             typical,
             expected,
+            alone,
             confirmed: None,
             start_limit: lease,
             stop_sent: None,
--- /dev/null
+++ b/components/schedule/src/suspects.rs
@@ -0,0 +1,109 @@
+//! Handles tasks that may crash their minions: records the losses under them,
+//! learns those that other owners have recorded, and gives tasks up.
+
+use kernel::{MinionId, Timestamp};
+
+use crate::action::{Action, LossCause};
+use crate::crash::{CrashRecord, LossState, Verdict};
+use crate::ids::JobId;
+use crate::job::{Job, Outcome, TaskState};
+use crate::minion::{HoldState, Minion};
+use crate::scheduler::Scheduler;
+
+impl Scheduler {
+    /// Records that a minion's runs ended with its process. Those of a leaving
+    /// minion end as announced.
+    pub(crate) fn record_losses(&mut self, id: &MinionId, cause: LossCause, now: Timestamp) {
+        let Some(minion) = self.minions.get(id) else {
+            return;
+        };
+        self.actions.extend(minion.losses(cause));
+        if minion.info.draining {
+            return;
+        }
+        let alone = minion.runs.len() == 1;
+        let born = minion.info.born;
+        let runs = minion.runs.iter();
+        let records =
+            runs.map(|r| CrashRecord::new(r.task.clone(), id.clone(), born, alone, cause));
+        for record in records.collect::<Vec<_>>() {
+            if self.crashes.add(record.clone(), now) {
+                self.actions.push(Action::Crash(record));
+            }
+        }
+    }
+
+    /// Learns a loss that another owner has recorded.
+    pub fn learn_crash(&mut self, record: CrashRecord, now: Timestamp) {
+        self.crashes.add(record, now);
+    }
+
+    /// Returns whether a task of the job is given up, so that no task of it is
+    /// started any more.
+    pub fn is_poison(&self, job: &JobId, now: Timestamp) -> bool {
+        self.crashes.poison_of(job, now).is_some()
+    }
+
+    /// Decides suspected losses by the minions' present state, and ends the jobs
+    /// of which a task is given up.
+    pub(crate) fn judge_crashes(&mut self, now: Timestamp) {
+        if self.crashes.is_empty() {
+            return;
+        }
+        self.crashes.expire(now);
+        self.crashes_repeat = self.crashes.has_repeats();
+        let minions = &self.minions;
+        let observe = |record: &CrashRecord, since| match minions.get(&record.minion) {
+            Some(minion) => observe_loss(minion, record, since),
+            None => LossState::Suspected,
+        };
+        let changed = self.crashes.resolve(observe, now);
+        self.actions.extend(changed.into_iter().map(Action::Crash));
+        let given_up = self.jobs.iter().filter_map(|(id, job)| {
+            let (verdict, task) = self.crashes.worst_of(id, now)?;
+            let hopeless = match verdict {
+                Verdict::Poison => true,
+                // The task could not end in time if it were found sound.
+                Verdict::OnHold(until) => until.after(job.expected) >= job.deadline,
+                _ => false,
+            };
+            hopeless.then(|| (id.clone(), task.clone()))
+        });
+        for (id, task) in given_up.collect::<Vec<_>>() {
+            self.actions.push(Action::GivenUp(task));
+            self.settle(&id, Outcome::Failed, now);
+        }
+    }
+
+    /// Returns the number of minions that may be given to suspects now, so that
+    /// these take only a part of the shard.
+    pub(crate) fn probe_room(&self) -> usize {
+        let held = self.held_count() as f64 * self.cfg.probe_share;
+        let most = (held as usize).max(MIN_PROBES);
+        let probed = self.minions.values().filter(|m| m.is_probed()).count();
+        most.saturating_sub(probed)
+    }
+
+    /// Returns whether a task of the job that must be alone on its minion may be
+    /// running.
+    pub(crate) fn has_isolated_run(&self, job: &Job, now: Timestamp) -> bool {
+        let placed = job.tasks.iter().filter(|t| t.state == TaskState::Placed);
+        let mut verdicts = placed.map(|t| self.crashes.verdict(&t.name, now));
+        verdicts.any(|v| v == Verdict::Isolated)
+    }
+}
+
+/// Number of suspects that even a small shard probes at once.
+const MIN_PROBES: usize = 2;
+
+/// Returns what a minion's present state says of a loss.
+fn observe_loss(minion: &Minion, record: &CrashRecord, since: Timestamp) -> LossState {
+    let answered = minion.hold_state == HoldState::Held && minion.last_listing > since;
+    if minion.info.born > record.born {
+        LossState::Confirmed
+    } else if minion.info.born == record.born && answered {
+        LossState::Cleared
+    } else {
+        LossState::Suspected
+    }
+}
--- a/components/schedule/src/tick.rs
+++ b/components/schedule/src/tick.rs
@@ -4,6 +4,7 @@
 use kernel::{Millis, Timestamp};
 
 use crate::action::{Action, LossCause};
+use crate::answers::SILENT_MISSES;
 use crate::job::{Job, Outcome};
 use crate::minion::{HoldState, Minion};
 use crate::order::is_late;
@@ -17,6 +18,7 @@
         }
         self.expire(now);
         self.check_runs(now);
+        self.judge_crashes(now);
         self.eject_unhealthy(now);
         self.compare_kinds();
         let retention = self.cfg.retention;
@@ -70,12 +72,16 @@
         let cfg = self.cfg.clone();
         let mut stops = Vec::new();
         let mut lapsed_runs = Vec::new();
+        // The runs of a minion that obeys another owner are not lost.
+        let silent = self.minions.values();
+        let silent = silent.filter(|m| m.missed_holds >= SILENT_MISSES && !m.runs.is_empty());
+        let silent = silent.filter(|m| m.lease_lapsed(now, &cfg));
+        let silent: Vec<_> = silent.map(|m| m.info.id.clone()).collect();
+        for id in &silent {
+            self.record_losses(id, LossCause::Silent, now);
+        }
         for minion in self.minions.values_mut() {
             let lapsed = minion.lease_lapsed(now, &cfg);
-            // The runs of a minion that obeys another owner are not over.
-            if lapsed && minion.hold_state == HoldState::Silent {
-                self.actions.extend(minion.losses(LossCause::Silent));
-            }
             for run in &mut minion.runs {
                 if lapsed {
                     lapsed_runs.push((minion.info.id.clone(), run.task.clone(), run.number));
--- a/components/schedule/src/transfer.rs
+++ b/components/schedule/src/transfer.rs
@@ -4,6 +4,7 @@
 use kernel::{Fence, LeaseTime, Millis, MinionId, RunNumber, Timestamp};
 use serde::{Deserialize, Serialize};
 
+use crate::crash::CrashRecord;
 use crate::evidence::MAX_PAIRS;
 use crate::evidence_report::EvidenceReport;
 use crate::ids::{JobId, TaskName};
@@ -63,6 +64,9 @@
     /// Expected run time on a minion of this kind.
     #[serde(default)]
     pub typical: Option<Millis>,
+    /// True if the minion is kept for this run.
+    #[serde(default)]
+    pub alone: bool,
 }
 
 /// State of a minion in a handover.
@@ -86,6 +90,9 @@
     /// Run times that the previous owner has observed.
     #[serde(default)]
     pub evidence: EvidenceReport,
+    /// Runs that were lost with their minions.
+    #[serde(default)]
+    pub crashes: Vec<CrashRecord>,
 }
 
 impl Scheduler {
@@ -97,6 +104,7 @@
             jobs: jobs.collect(),
             minions: minions.collect(),
             evidence: self.evidence.report(TRANSFER_PAIRS, now),
+            crashes: self.crashes.records().cloned().collect(),
         }
     }
 
@@ -134,6 +142,9 @@
             self.minions.insert(id, state);
         }
         self.learn_report(&from.evidence, now);
+        for record in from.crashes {
+            self.learn_crash(record, now);
+        }
     }
 }
 
@@ -164,6 +175,7 @@
         baseline: r.baseline,
         expected: r.expected,
         typical: Some(r.typical),
+        alone: r.alone,
     });
     MinionTransfer {
         info: minion.info.clone(),
@@ -185,6 +197,7 @@
         baseline: run.baseline,
         typical: run.typical.unwrap_or(run.baseline),
         expected: run.expected,
+        alone: run.alone,
         confirmed: None,
         start_limit: LeaseTime(0),
         stop_sent: None,
--- a/components/schedule/tests/at_once.rs
+++ b/components/schedule/tests/at_once.rs
@@ -89,7 +89,8 @@
             sim.order_log.push(format!("{now}: restarted {id}"));
             let info = sim.minions[&id].info.clone();
             let fence = sim.next_token();
-            sim.owners[active].register(info, fence);
+            let time = sim.time();
+            sim.owners[active].register(info, fence, time);
         }
     }
     sim
--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -241,7 +241,8 @@
             let id = info.id.clone();
             self.token += 1;
             let fence = Fence(self.token);
-            if self.owners[owner].register(info, fence) {
+            let time = self.time();
+            if self.owners[owner].register(info, fence, time) {
                 self.hold(owner, id);
             }
         }
@@ -259,7 +260,8 @@
             self.published.insert(info.id.clone(), info.clone());
             for owner in 0..self.owners.len() {
                 let fence = self.next_token();
-                self.owners[owner].register(info.clone(), fence);
+                let time = self.time();
+                self.owners[owner].register(info.clone(), fence, time);
             }
         }
     }
@@ -274,6 +276,13 @@
         self.owners[owner] = next;
     }
 
+    /// Begins to hold all minions that an owner knows.
+    pub fn hold_all(&mut self, owner: usize) {
+        for id in self.owners[owner].minion_ids() {
+            self.hold(owner, id);
+        }
+    }
+
     /// Returns a token above all earlier ones.
     pub fn next_token(&mut self) -> Fence {
         self.token += 1;
@@ -373,7 +382,8 @@
                 Action::Stop(order) => self.send(Message::Stop(owner, order)),
                 Action::Settle(id, outcome, _) => self.outcomes.push((self.now, id, outcome)),
                 Action::SpeedsCompared { uneven, .. } => self.comparisons.push(uneven),
-                Action::Ejected(..) | Action::Failed(..) | Action::Hung(..) | Action::Lost(_) => {}
+                Action::Ejected(..) | Action::Failed(..) | Action::Hung(..) => {}
+                Action::Lost(_) | Action::Crash(_) | Action::GivenUp(_) => {}
             }
         }
     }
@@ -390,10 +400,7 @@
     }
 
     fn deliver(&mut self, at: u64, message: Message) {
-        if self.is_gone(&message) {
-            return;
-        }
-        if self.is_down(&message) {
+        if self.is_gone(&message) || self.is_down(&message) {
             self.enqueue(200, unanswered(&message));
             return;
         }
@@ -466,7 +473,7 @@
                 let born = list.born;
                 if self.owners[owner].listed(&id, fence, list, time) == HoldResult::Restarted {
                     let fence = self.next_token();
-                    self.owners[owner].restarted(&id, born, fence);
+                    self.owners[owner].restarted(&id, born, fence, time);
                 }
                 self.perform(owner);
                 self.hold(owner, id);
--- a/components/schedule/tests/crashing_task.rs
+++ b/components/schedule/tests/crashing_task.rs
@@ -3,8 +3,11 @@
 mod common;
 
 use common::{Simulation, job};
-use kernel::Millis;
-use schedule::{JobSpec, Outcome, TaskName};
+use kernel::{Millis, MinionId, Timestamp};
+use schedule::{
+    CrashLog, CrashRecord, JobSpec, LossState, Outcome, ScheduleConfig, Scheduler, TaskName,
+    Verdict,
+};
 use standins::Fate;
 
 /// Minions that a task may crash before it is given up.
@@ -46,3 +49,156 @@
     assert_eq!(outcome(&sim, &spec), Some(Outcome::Failed));
     assert_eq!(sim.violations, Vec::<String>::new());
 }
+
+/// Guards against a plain count of losses, which fails sound tasks that ran beside
+/// a deadly one.
+#[test]
+fn neighbours_live() {
+    let mut sim = Simulation::new(2, 1, &[32; 16]);
+    sim.run(50);
+    let mut tasks = Vec::new();
+    let mut sound = Vec::new();
+    for number in 0..60 {
+        let spec = patient(number, 2, 200);
+        if number % 10 == 3 {
+            tasks.push(deadly(&mut sim, &spec, 0));
+        } else {
+            sound.push(spec.clone());
+        }
+        sim.submit(0, spec, 200);
+        sim.run(50);
+    }
+    sim.run(12_000);
+    for spec in &sound {
+        assert_eq!(outcome(&sim, spec), Some(Outcome::Completed), "{}", spec.id);
+    }
+    for task in &tasks {
+        let started = sim.started_on[task].len();
+        assert!(started <= 3, "{task} started {started} times");
+    }
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+/// Guards against a job whose tasks are all deadly and take a minion each at a
+/// time, again and again.
+#[test]
+fn wide_job() {
+    let mut sim = Simulation::new(3, 1, &[32; 24]);
+    sim.run(50);
+    let spec = patient(1, 12, 200);
+    for index in 0..12 {
+        deadly(&mut sim, &spec, index);
+    }
+    sim.submit(0, spec.clone(), 200);
+    sim.run(14_000);
+    assert_eq!(outcome(&sim, &spec), Some(Outcome::Failed));
+    // Two tasks fit on a minion. The first start of all tasks takes at least six
+    // minions, and one task proves the job's guilt.
+    let started: usize = sim.started_on.values().map(Vec::len).sum();
+    assert!(started <= 12 + 2, "{started} starts");
+}
+
+/// Guards against a count that begins at zero at the next owner.
+#[test]
+fn handed_over() {
+    let mut sim = Simulation::new(4, 1, &[32; 16]);
+    sim.run(50);
+    let spec = patient(1, 2, 200);
+    let task = deadly(&mut sim, &spec, 1);
+    sim.submit(0, spec, 200);
+    for _ in 0..12 {
+        sim.run(1_100);
+        sim.hand_over(0);
+        sim.hold_all(0);
+    }
+    let started = sim.started_on[&task].len();
+    assert!(started <= 3, "started {started} times");
+}
+
+/// Guards against blame on the tasks of a minion that was only cut off.
+#[test]
+fn cut_minion() {
+    let mut sim = Simulation::new(5, 1, &[32; 4]);
+    sim.run(50);
+    let spec = patient(1, 2, 3_000);
+    sim.submit(0, spec.clone(), 3_000);
+    sim.run(50);
+    for _ in 0..3 {
+        let task = TaskName::new(&spec.id, 0, 0);
+        let on = sim.started_on[&task].last().cloned().unwrap();
+        sim.gone.push(on);
+        sim.run(1_500);
+        sim.gone.clear();
+        sim.run(300);
+    }
+    sim.run(5_000);
+    assert_eq!(outcome(&sim, &spec), Some(Outcome::Completed));
+}
+
+fn loss(task: &str, minion: u64, alone: bool, state: LossState) -> CrashRecord {
+    CrashRecord {
+        task: TaskName::from_minion(task),
+        minion: format!("m-{minion}").parse::<MinionId>().unwrap(),
+        born: 7,
+        alone,
+        state,
+    }
+}
+
+const TASK: &str = "00000000000000ab.0.0.1";
+
+#[test]
+fn verdicts() {
+    let now = Timestamp(1_000_000);
+    let later = Timestamp(9_000_000);
+    let (suspected, confirmed) = (LossState::Suspected, LossState::Confirmed);
+    let verdict = |losses: &[(bool, LossState)], at| {
+        let mut log = CrashLog::default();
+        for (i, (alone, state)) in losses.iter().enumerate() {
+            assert!(log.add(loss(TASK, i as u64, *alone, *state), now));
+        }
+        log.verdict(&TaskName::from_minion(TASK), at)
+    };
+    assert_eq!(verdict(&[], now), Verdict::Clear);
+    assert_eq!(verdict(&[(true, LossState::Cleared)], now), Verdict::Clear);
+    assert_eq!(verdict(&[(true, confirmed)], now), Verdict::Suspect);
+    assert_eq!(verdict(&[(false, confirmed); 2], now), Verdict::Isolated);
+    let alone = [(false, suspected), (true, suspected)];
+    let proved_by = Timestamp(5_500_000);
+    assert_eq!(verdict(&alone, now), Verdict::OnHold(proved_by));
+    assert_eq!(verdict(&alone, later), Verdict::Isolated);
+    let proved = [(false, confirmed), (true, confirmed)];
+    assert_eq!(verdict(&proved, now), Verdict::Poison);
+    assert_eq!(verdict(&[(false, suspected); 3], now), Verdict::Poison);
+}
+
+#[test]
+fn merged_records() {
+    let now = Timestamp(1);
+    let mut log = CrashLog::default();
+    assert!(log.add(loss(TASK, 1, false, LossState::Confirmed), now));
+    // Older news of the same loss change nothing, a later state does.
+    assert!(!log.add(loss(TASK, 1, false, LossState::Suspected), now));
+    assert!(log.add(loss(TASK, 1, false, LossState::Cleared), now));
+    assert!(!log.add(loss(TASK, 1, false, LossState::Confirmed), now));
+    assert_eq!(log.records().count(), 1);
+    // Names that can't be those of a job's task are not kept.
+    assert!(!log.add(loss("x", 1, false, LossState::Confirmed), now));
+    let long = format!("{TASK}{}", "0".repeat(100));
+    assert!(!log.add(loss(&long, 1, false, LossState::Confirmed), now));
+    log.expire(Timestamp(100_000_000));
+    assert!(log.is_empty());
+}
+
+/// Guards against starts of a task that another owner has given up.
+#[test]
+fn learned_verdict() {
+    let mut owner = Scheduler::new(ScheduleConfig::default());
+    let now = Timestamp(1_000_000);
+    let spec = job(0xab, 2, 14, 60);
+    assert!(!owner.is_poison(&spec.id, now));
+    for minion in 0..2 {
+        owner.learn_crash(loss(TASK, minion, true, LossState::Confirmed), now);
+    }
+    assert!(owner.is_poison(&spec.id, now));
+}
--- a/components/schedule/tests/rebirth.rs
+++ b/components/schedule/tests/rebirth.rs
@@ -25,7 +25,7 @@
     let mut scheduler = Scheduler::new(ScheduleConfig::default());
     let info = minion("m-00", 32);
     let id = info.id.clone();
-    scheduler.register(info, Fence(5));
+    scheduler.register(info, Fence(5), at(0));
     scheduler.listed(&id, Fence(5), empty_list(1_000, 1), at(10));
     scheduler.submit(at(11), job(1, 1, 14, 200));
     assert_eq!(count_starts(&mut scheduler), 1);
@@ -43,7 +43,7 @@
     let (mut scheduler, id) = with_pending_start();
     let mut info = minion("m-00", 32);
     info.born = 2;
-    assert!(scheduler.register(info, Fence(6)));
+    assert!(scheduler.register(info, Fence(6), at(15)));
     // The start may reach the new process, so the task must not run elsewhere
     // or again before a list under the new token.
     scheduler.tick(at(20));
@@ -57,7 +57,7 @@
     let (mut scheduler, id) = with_pending_start();
     let mut info = minion("m-00", 32);
     info.born = 2;
-    scheduler.register(info, Fence(6));
+    scheduler.register(info, Fence(6), at(15));
     // A list under the previous token proves nothing: a start under that token
     // may arrive after it.
     let result = scheduler.listed(&id, Fence(5), empty_list(5, 2), at(30));
@@ -70,13 +70,13 @@
     let (mut scheduler, id) = with_pending_start();
     let result = scheduler.listed(&id, Fence(5), empty_list(5, 2), at(30));
     assert_eq!(result, HoldResult::Restarted);
-    scheduler.restarted(&id, 2, Fence(6));
+    scheduler.restarted(&id, 2, Fence(6), at(30));
     scheduler.listed(&id, Fence(6), empty_list(9, 2), at(40));
     // The minion's size is unknown until the register reports it.
     assert_eq!(count_starts(&mut scheduler), 0);
     let mut info = minion("m-00", 32);
     info.born = 2;
-    scheduler.register(info, Fence(7));
+    scheduler.register(info, Fence(7), at(45));
     scheduler.tick(at(50));
     assert_eq!(count_starts(&mut scheduler), 1);
 }
