--- a/components/engine/src/crashes.rs
+++ b/components/engine/src/crashes.rs
@@ -63,7 +63,7 @@
                 alone = record.alone; "minion crashed under a task");
         }
         LossState::Cleared => {
-            log::info!(task:% = record.task, minion:% = record.minion, shard:% = owned.shard();
+            log::info!(task:% = record.task, shard:% = owned.shard(), minion:% = record.minion;
                 "lost minion answers again, no crash");
         }
     }
