Follow capacity that shrinks and grows, in the order in which a minion reported it

What callers would see: tasks started on a minion that no longer has room for them (LIMIT), and a minute's Retry-After while room is away for seconds. Cause, found by asking what else believes a minion's first capacity: - A new owner's own register may be older than the entry that came with the handover, and replaced it. - An owner that the store turns away goes on with what it read last; other VMs knew better and were not asked. - The kind of a minion is its label and capacity, so that a shrunk one counted as a kind without run times. - can_hold compared tasks with the present capacity and refused them for a minute. Change: entries carry their number (Sequence); earlier ones of the same process are ignored. Heartbeats tell how far a VM has read the register, and an owner that has not reached the store for 1.2 s merges the register of the VM that has read most. Kind and can_hold go by the largest capacity of the minion's present life.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -17,7 +17,7 @@
 use crate::crashes;
 use crate::drive;
 use crate::evacuation;
-use crate::first_reads::read_configuration;
+use crate::first_reads::{pull_register, read_configuration};
 use crate::handover;
 use crate::owned::{Ending, Owned, TakePolicy};
 use crate::startup::Step;
@@ -117,6 +117,7 @@
             crashes::maintain(&core, now);
             meter.update(&core, now);
             pull_configuration(&core, now);
+            pull_register(&core, now);
             evacuation::pull(&core, now);
             report_held(&core);
             core.peers().set_link_busy(core.cfg.link.is_busy());
@@ -345,6 +346,7 @@
         known: peers.addrs().choose_multiple(&mut rand::rng(), known),
         evacuations: core.evacuations.load().as_of(),
         evidence: EvidenceReport::default(),
+        register: core.register_read().end,
         crashes: Vec::new(),
     }
 }
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -17,6 +17,7 @@
 use crate::evacuation::Evacuations;
 use crate::model::Configuration;
 use crate::owned::Owned;
+use crate::register::RegisterRead;
 use crate::startup::Startup;
 
 /// The shared state of one VM.
@@ -38,6 +39,8 @@
     pub evacuations: ArcSwap<Evacuations>,
     /// Register of minions; empty until it has been read.
     pub register: ArcSwapOption<Vec<MinionInfo>>,
+    /// How far and when this VM has read the register.
+    pub register_read: Mutex<RegisterRead>,
     /// Shards that this VM owns.
     pub owned: ArcSwap<HashMap<Shard, Arc<Owned>>>,
     /// State of other VMs and of ownership.
@@ -77,6 +80,11 @@
         lock(&self.peers)
     }
 
+    /// Returns how far and when this VM has read the register.
+    pub fn register_read(&self) -> RegisterRead {
+        *lock(&self.register_read)
+    }
+
     /// Returns the version of the configuration in force, or 0 without one.
     pub fn version(&self) -> u64 {
         self.configuration.load().as_ref().map_or(0, |c| c.version)
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use kernel::{BootClock, Clock, Domain, HashMap, Incarnation, Millis};
+use kernel::{BootClock, Clock, Domain, HashMap, Incarnation, Millis, Offset};
 use metrics::{Gauge, Metrics};
 use ownership::{Peers, Tokens, VmInfo};
 use schedule::{JobSpec, MinionInfo, Outcome};
@@ -18,12 +18,13 @@
 use crate::calls::PeerHandler;
 use crate::config::EngineConfig;
 use crate::control::Minions;
-use crate::core::Core;
+use crate::core::{Core, lock};
 use crate::drive;
 use crate::evacuation::{self, Evacuations};
 use crate::first_reads::read_first;
 use crate::handover;
 use crate::model::Configuration;
+use crate::register::{RegisterRead, merge};
 use crate::startup::{Startup, Step};
 use crate::submit::submit;
 
@@ -115,6 +116,7 @@
             configuration: ArcSwapOption::empty(),
             evacuations: ArcSwap::default(),
             register: ArcSwapOption::empty(),
+            register_read: Mutex::default(),
             owned: ArcSwap::default(),
             peers: Mutex::new(peers),
             evidence: Mutex::default(),
@@ -172,6 +174,17 @@
         sync_minions(&self.core);
     }
 
+    /// Records that the register in the store was read up to `end`.
+    pub fn register_read(&self, end: Offset) {
+        let tried = self.core.now();
+        *lock(&self.core.register_read) = RegisterRead { end, tried };
+    }
+
+    /// Returns the register of minions.
+    pub fn minions(&self) -> Option<Arc<Vec<MinionInfo>>> {
+        self.core.register.load_full()
+    }
+
     /// Adds an address at which another VM may be.
     pub fn add_address(&self, addr: Ipv4Addr) {
         self.core.peers().add_address(addr, self.core.now());
@@ -275,6 +288,24 @@
     }
 }
 
+/// Adds to the register the entries of another VM that are later, and those of
+/// minions that it lacks. `end` is the offset up to which that VM has read.
+pub(crate) fn merge_register<M: Minions>(core: &Arc<Core<M>>, minions: &[MinionInfo], end: Offset) {
+    {
+        let mut read = lock(&core.register_read);
+        read.end = read.end.max(end);
+    }
+    let mut changed = false;
+    core.register.rcu(|held| {
+        let mut merged = held.as_ref().map_or_else(Vec::new, |held| held.to_vec());
+        changed = merge(&mut merged, minions);
+        Some(Arc::new(merged))
+    });
+    if changed {
+        sync_minions(core);
+    }
+}
+
 /// Takes the register of another VM if none has been read from the store.
 pub(crate) fn adopt_register<M: Minions>(core: &Arc<Core<M>>, minions: Vec<MinionInfo>) {
     let fresh = Arc::new(minions);
--- a/components/engine/src/first_reads.rs
+++ b/components/engine/src/first_reads.rs
@@ -1,14 +1,14 @@
 //! Reads the configuration and the register of minions from another VM, for a VM
-//! that has none from the store.
+//! that has none from the store or can't reach it.
 
 use std::sync::Arc;
 
-use kernel::Millis;
+use kernel::{Millis, Timestamp};
 
 use crate::calls::{call_configuration, call_register};
 use crate::control::Minions;
-use crate::core::Core;
-use crate::engine::{adopt_register, configure};
+use crate::core::{Core, lock};
+use crate::engine::{adopt_register, configure, merge_register};
 
 /// Interval at which a VM without a configuration or register asks another one. A
 /// store that works answers within a tenth of it.
@@ -78,3 +78,34 @@
         }
     }
 }
+
+/// Time since its last read of the register after which an owner asks another VM.
+/// Capacity that has shrunk counts within `bounds.contact-ms`, on VMs that the
+/// store turns away too.
+const REGISTER_AGE: Millis = Millis(1_200);
+
+/// Reads the register of the VM that knows most of it, if this VM owns minions and
+/// has not reached the store for a while.
+pub(crate) fn pull_register<M: Minions>(core: &Arc<Core<M>>, now: Timestamp) {
+    let read = core.register_read();
+    if core.owned.load().is_empty() || now.since(read.tried) < REGISTER_AGE {
+        return;
+    }
+    let Some((from, end)) = core.peers().latest_register(read.end, now) else {
+        return;
+    };
+    lock(&core.register_read).tried = now;
+    let core = core.clone();
+    tokio::spawn(async move {
+        match call_register(&core, from).await {
+            Ok(minions) => {
+                let minions = minions.unwrap_or_default();
+                log::debug!(from:% = from, minions = minions.len(); "register merged with that of another VM");
+                merge_register(&core, &minions, end);
+            }
+            Err(e) => {
+                log::info!(from:% = from, error:% = e; "reading the register from another VM failed")
+            }
+        }
+    });
+}
--- a/components/engine/src/register.rs
+++ b/components/engine/src/register.rs
@@ -1,9 +1,39 @@
 //! The register of minions, built from the records of the store.
 
 use compact_str::CompactString;
-use kernel::{HashMap, Millis, Timestamp};
+use kernel::{HashMap, Millis, Offset, Timestamp};
 use schedule::MinionInfo;
 
+/// How far and when a VM has read the register in the store.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RegisterRead {
+    /// Offset after the last record that was read, here or by another VM from
+    /// which this one took its register.
+    pub end: Offset,
+    /// Time of the last read of the store, or try to read from another VM.
+    pub tried: Timestamp,
+}
+
+/// Adds the entries of `other` that are later than those in `minions`, which are
+/// sorted by id, and those of further minions. Returns true if anything but a number has changed.
+pub(crate) fn merge(minions: &mut Vec<MinionInfo>, other: &[MinionInfo]) -> bool {
+    let mut changed = false;
+    for info in other {
+        match minions.binary_search_by(|known| known.id.cmp(&info.id)) {
+            Ok(at) if info.is_later(&minions[at]) => {
+                changed |= !minions[at].is_same(info);
+                minions[at] = info.clone();
+            }
+            Ok(_) => {}
+            Err(at) => {
+                changed = true;
+                minions.insert(at, info.clone());
+            }
+        }
+    }
+    changed
+}
+
 /// Time after an error of the store during which no minion is removed: records
 /// that lapsed while the store was unavailable return within about two seconds.
 const SETTLE_TIME: Millis = Millis(2_500);
@@ -28,8 +58,10 @@
             return false;
         };
         self.missing.remove(key);
-        let old = self.minions.insert(key.into(), info);
-        old.as_ref() != self.minions.get(key)
+        let known = self.minions.get(key);
+        let changed = known.is_none_or(|known| !known.is_same(&info));
+        self.minions.insert(key.into(), info);
+        changed
     }
 
     /// Marks all records as missing whose keys are not in `keys`.
--- a/components/engine/tests/first_reads.rs
+++ b/components/engine/tests/first_reads.rs
@@ -5,7 +5,7 @@
 
 use common::{Site, config, eventually, free_port, serve};
 use engine::{Engine, EngineConfig, Step};
-use kernel::Millis;
+use kernel::{Millis, Offset, Sequence};
 use ownership::OwnershipConfig;
 
 /// A configuration in which periodic checks are a minute apart.
@@ -55,3 +55,25 @@
     // Later only the first candidates do.
     eventually("only candidates follow", || others() == 3).await;
 }
+
+/// Guards against an owner that the store turns away and that goes on with the
+/// capacities that it read first.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn register_passed_on() {
+    let site = Site::new(&[32, 48]);
+    let port = free_port();
+    let a = serve(config(1, port), site.clone(), &site).await;
+    eventually("shard taken", || a.owns()).await;
+    let b = serve(config(2, port), site.clone(), &site).await;
+    let mut later = site.infos();
+    for info in &mut later {
+        info.capacity.cpu.0 /= 2;
+        info.sequence = Sequence(7);
+    }
+    b.register(later.clone());
+    b.register_read(Offset(20));
+    eventually("later entries", || {
+        a.minions().is_some_and(|minions| *minions == later)
+    })
+    .await;
+}
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -18,5 +18,5 @@
 pub use registry::{Fault, Key, Kind, Parts, Plugin, Section, plugins};
 pub use units::{
     BitRate, Cores, Epoch, Fence, Gpus, LeaseTime, Mebibytes, MilliCores, Millis, Offset,
-    RunNumber, Slots, Timestamp, UnitError,
+    RunNumber, Sequence, Slots, Timestamp, UnitError,
 };
--- a/components/kernel/src/units.rs
+++ b/components/kernel/src/units.rs
@@ -52,6 +52,12 @@
     };
 }
 
+integer_newtype! {
+    /// The number of a record among those that a minion's process has written of
+    /// itself. A later one replaces an earlier one.
+    Sequence(u64)
+}
+
 integer_newtype! {
     /// A position in the platform's log; the first record has offset 0.
     Offset(u64)
--- a/components/ownership/src/heartbeat.rs
+++ b/components/ownership/src/heartbeat.rs
@@ -84,6 +84,10 @@
     /// none.
     #[serde(default)]
     pub evidence: EvidenceReport,
+    /// Offset up to which the sender has read the register; 0 if it has none from
+    /// the store.
+    #[serde(default)]
+    pub register: Offset,
     /// New records of runs that were lost with their minions. Most heartbeats have
     /// none.
     #[serde(default)]
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -27,6 +27,8 @@
     pub(crate) version: u64,
     /// Offset of the VM's state of evacuations.
     pub(crate) evacuations: Offset,
+    /// Offset up to which the VM has read the register.
+    pub(crate) register: Offset,
     /// Longest time until the VM's next heartbeat, as it has announced.
     pub(crate) interval: Millis,
 }
@@ -160,6 +162,7 @@
                 alive_since: now,
                 version: 0,
                 evacuations: Offset(0),
+                register: Offset(0),
                 interval: self.cfg.idle_interval,
             });
             self.fresh.push(addr);
@@ -212,6 +215,7 @@
             last_heartbeat: now,
             version: heartbeat.version,
             evacuations: heartbeat.evacuations,
+            register: heartbeat.register,
             interval,
         };
         self.peers.insert(ip, peer);
@@ -577,6 +581,15 @@
         alive.filter_map(|p| p.info.as_ref().map(|i| i.addr))
     }
 
+    /// Returns the live VM that has read most of the register, with the offset, if
+    /// that is more than up to `end`.
+    pub fn latest_register(&self, end: Offset, now: Timestamp) -> Option<(SocketAddr, Offset)> {
+        let alive = self.peers.values();
+        let alive = alive.filter(|p| p.register > end && p.is_alive(&self.cfg, now));
+        let latest = alive.max_by_key(|p| p.register)?;
+        latest.info.as_ref().map(|i| (i.addr, latest.register))
+    }
+
     /// Returns a shard's owner if that is another VM.
     pub fn owner(&self, shard: &Shard) -> Option<&Owner> {
         self.owners.get(shard)
--- a/components/ownership/tests/cold_start.rs
+++ b/components/ownership/tests/cold_start.rs
@@ -201,6 +201,7 @@
             known: addrs,
             evacuations: Offset(0),
             evidence: schedule::EvidenceReport::default(),
+            register: Offset(0),
             crashes: Vec::new(),
         }
     }
@@ -504,6 +505,7 @@
         known: Vec::new(),
         evacuations: Offset(0),
         evidence: schedule::EvidenceReport::default(),
+        register: Offset(0),
         crashes: Vec::new(),
     }
 }
--- a/components/ownership/tests/division.rs
+++ b/components/ownership/tests/division.rs
@@ -60,6 +60,7 @@
         known: Vec::new(),
         evacuations: Offset(0),
         evidence: schedule::EvidenceReport::default(),
+        register: Offset(0),
         crashes: Vec::new(),
     }
 }
--- a/components/ownership/tests/intervals.rs
+++ b/components/ownership/tests/intervals.rs
@@ -86,6 +86,7 @@
         known: Vec::new(),
         evacuations: Offset(0),
         evidence: EvidenceReport::default(),
+        register: Offset(0),
         crashes: Vec::new(),
     };
     peers.receive(heartbeat, at(0));
@@ -114,6 +115,7 @@
         known: vec![[10, 0, 0, 2].into()],
         evacuations: Offset(0),
         evidence: EvidenceReport::default(),
+        register: Offset(0),
         crashes: Vec::new(),
     };
     peers.receive(heard, at(1));
--- a/components/ownership/tests/run_times.rs
+++ b/components/ownership/tests/run_times.rs
@@ -56,6 +56,7 @@
         known: Vec::new(),
         evacuations: kernel::Offset(0),
         evidence,
+        register: kernel::Offset(0),
         crashes: Vec::new(),
     }
 }
--- a/components/ownership/tests/takeover.rs
+++ b/components/ownership/tests/takeover.rs
@@ -49,6 +49,7 @@
         known: Vec::new(),
         evacuations: Offset(0),
         evidence: EvidenceReport::default(),
+        register: Offset(0),
         crashes: Vec::new(),
     }
 }
--- a/components/schedule/benches/placement.rs
+++ b/components/schedule/benches/placement.rs
@@ -28,6 +28,7 @@
         labels: vec![kind.into()],
         draining: false,
         born: 1,
+        sequence: kernel::Sequence(0),
         kind: kind.into(),
     }
 }
@@ -69,7 +70,7 @@
         let mut counts = vec![0; 16];
         counts[bucket] = 255;
         PairReport {
-            kind: schedule::MinionKind::of(kind),
+            kind: schedule::MinionKind::of(&kind.kind, &kind.capacity),
             queue: queue.into(),
             runs: 500.0,
             mean,
--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -1,6 +1,6 @@
 //! Handlers for the minions' answers.
 
-use kernel::{Fence, LeaseTime, Millis, MinionId, RunNumber, Timestamp};
+use kernel::{Fence, LeaseTime, Millis, MinionId, RunNumber, Sequence, Timestamp};
 
 use crate::action::Action;
 use crate::ids::TaskName;
@@ -126,6 +126,7 @@
         self.reset_minion(id, now);
         if let Some(minion) = self.minions.get_mut(id) {
             minion.info.born = born;
+            minion.info.sequence = Sequence(0);
             minion.info.draining = true;
             minion.fence = fence;
         }
--- a/components/schedule/src/evidence.rs
+++ b/components/schedule/src/evidence.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::distribution::{Distribution, Survival, prior};
-use crate::minion::MinionInfo;
+use crate::resources::Resources;
 
 /// Number of runs that the other kinds' distribution of a queue counts for,
 /// shifted by the difference in speed.
@@ -52,11 +52,10 @@
 pub struct MinionKind(CompactString);
 
 impl MinionKind {
-    /// Returns the kind of a minion.
-    pub fn of(info: &MinionInfo) -> MinionKind {
-        let size = &info.capacity;
+    /// Returns the kind of a minion with this label of the platform and this size.
+    pub fn of(label: &str, size: &Resources) -> MinionKind {
         // A longer label could not be sent to other VMs.
-        let label: CompactString = info.kind.chars().take(16).collect();
+        let label: CompactString = label.chars().take(16).collect();
         MinionKind(format_compact!(
             "{label}/{}/{}/{}",
             size.cpu.0,
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
-use kernel::{Domain, Fence, LeaseTime, Millis, MinionId, RunNumber, Service, Timestamp};
+use kernel::{Domain, Fence, LeaseTime, Millis, MinionId, RunNumber, Sequence, Service, Timestamp};
 use serde::{Deserialize, Serialize};
 
 use crate::action::{Action, LossCause, RunLoss};
@@ -36,12 +36,35 @@
     /// later one under the same id is another process, which runs nothing of
     /// the previous one.
     pub born: u64,
+    /// Number of this entry among those of the process. The capacity may shrink
+    /// and grow again from one to the next.
+    #[serde(default)]
+    pub sequence: Sequence,
     /// The platform's label for the kind of machine; empty if it gives none.
     /// Minions of the same kind and capacity are expected to have the same speed.
     #[serde(default)]
     pub kind: CompactString,
 }
 
+impl MinionInfo {
+    /// Returns whether this entry is later than `other`, one of the same minion.
+    /// Entries without the start of the process can't be compared, as each process
+    /// numbers its own.
+    pub fn is_later(&self, other: &MinionInfo) -> bool {
+        let numbered = self.born > 0 && self.born == other.born;
+        self.born > other.born || numbered && self.sequence > other.sequence
+    }
+
+    /// Returns whether the entries say the same of the minion.
+    pub fn is_same(&self, other: &MinionInfo) -> bool {
+        let renumbered = MinionInfo {
+            sequence: other.sequence,
+            ..self.clone()
+        };
+        renumbered == *other
+    }
+}
+
 /// The way a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndKind {
@@ -176,7 +199,9 @@
     pub runs: Vec<Run>,
     /// Failures and speed of the minion.
     pub health: Health,
-    /// Kind of the minion, from its entry in the register.
+    /// Largest capacity that the minion has had in this life.
+    pub size: Resources,
+    /// Kind of the minion, by its label and size.
     pub kind: MinionKind,
     /// Run times relative to those of other minions of the kind.
     pub pace: Pace,
@@ -206,7 +231,8 @@
     /// Creates the state of a minion that is still to be held.
     pub fn new(info: MinionInfo, fence: Fence) -> Minion {
         Minion {
-            kind: MinionKind::of(&info),
+            size: info.capacity,
+            kind: MinionKind::of(&info.kind, &info.capacity),
             pace: Pace::default(),
             info,
             fence,
@@ -225,14 +251,21 @@
     }
 
     /// Replaces the entry in the register. A minion that returns as another kind
-    /// starts from the speed of that kind.
+    /// starts from the speed of that kind; one whose capacity shrinks stays of its
+    /// kind.
     pub fn set_info(&mut self, info: MinionInfo) {
-        let kind = MinionKind::of(&info);
+        self.info = info;
+        self.set_size(self.info.capacity);
+    }
+
+    /// Records a capacity that the minion has had in this life.
+    pub fn set_size(&mut self, size: Resources) {
+        self.size = self.size.max(&size);
+        let kind = MinionKind::of(&self.info.kind, &self.size);
         if kind != self.kind {
             self.kind = kind;
             self.pace = Pace::default();
         }
-        self.info = info;
     }
 
     /// Returns the lowest value that the minion's clock can have at `now`, or
--- a/components/schedule/src/resources.rs
+++ b/components/schedule/src/resources.rs
@@ -32,6 +32,15 @@
         }
     }
 
+    /// Returns the larger amount of each resource.
+    pub fn max(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
     /// Returns the sum of both amounts.
     pub fn with(&self, other: &Resources) -> Resources {
         Resources {
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -125,9 +125,9 @@
     pub fn register(&mut self, info: MinionInfo, fence: Fence, now: Timestamp) -> bool {
         if let Some(minion) = self.minions.get_mut(&info.id) {
             if info.born <= minion.info.born {
-                // The register may be older than what the minion reported
-                // itself.
-                if info.born == minion.info.born {
+                // The register may be older than what the minion reported itself,
+                // or than the entry that came with a handover.
+                if !minion.info.is_later(&info) {
                     minion.set_info(info);
                 }
                 return false;
@@ -262,13 +262,14 @@
         (cores(free), cores(total))
     }
 
-    /// Returns whether each task would fit on some minion that is empty.
+    /// Returns whether each task would fit on some minion that is empty and has
+    /// its full size again.
     fn can_hold(&self, spec: &JobSpec) -> bool {
         let fits = |step: &Step| {
             self.minions.values().any(|m| {
                 let label = step.label.as_ref();
                 m.info.service == spec.service
-                    && step.need.fits(&m.info.capacity)
+                    && step.need.fits(&m.size)
                     && label.is_none_or(|l| m.info.labels.contains(l))
             })
         };
--- a/components/schedule/src/transfer.rs
+++ b/components/schedule/src/transfer.rs
@@ -74,6 +74,9 @@
 pub struct MinionTransfer {
     /// The minion's entry in the register.
     pub info: MinionInfo,
+    /// Largest capacity that the minion has had in this life, if known.
+    #[serde(default)]
+    pub size: Option<Resources>,
     /// Sequence number of the last end that was processed.
     pub seen: u64,
     /// Runs that may be on the minion.
@@ -132,6 +135,7 @@
         for minion in from.minions {
             let id: MinionId = minion.info.id.clone();
             let mut state = Minion::new(minion.info, fence());
+            state.set_size(minion.size.unwrap_or_default());
             state.seen = minion.seen;
             state.last_renewal = now;
             state.runs = minion
@@ -179,6 +183,7 @@
     });
     MinionTransfer {
         info: minion.info.clone(),
+        size: Some(minion.size),
         seen: minion.seen,
         runs: runs.collect(),
     }
--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -9,7 +9,7 @@
 
 use std::collections::BTreeMap;
 
-use kernel::{Domain, Millis, MinionId, Service, Timestamp};
+use kernel::{Domain, Millis, MinionId, Sequence, Service, Timestamp};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use schedule::{
@@ -46,6 +46,7 @@
         labels: vec!["a".into()],
         draining: false,
         born: 1,
+        sequence: Sequence(0),
         kind: "a".into(),
     }
 }
--- a/components/schedule/tests/run_times.rs
+++ b/components/schedule/tests/run_times.rs
@@ -113,7 +113,7 @@
     let small = minion("m-1", 16);
     let mut other = minion("m-1", 16);
     other.kind = "b".into();
-    let kinds = [small, minion("m-2", 24), other].map(|info| MinionKind::of(&info));
+    let kinds = [small, minion("m-2", 24), other].map(|m| MinionKind::of(&m.kind, &m.capacity));
     assert_eq!(kinds[0].to_string(), "a/16000/131072/0");
     assert!(kinds[0] != kinds[1] && kinds[0] != kinds[2]);
     assert_eq!(kinds[0].to_string().parse(), Ok(kinds[0].clone()));
--- a/components/soak/src/site.rs
+++ b/components/soak/src/site.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use kernel::{Domain, Gpus, Mebibytes, MilliCores, Millis, MinionId, Service};
+use kernel::{Domain, Gpus, Mebibytes, MilliCores, Millis, MinionId, Sequence, Service};
 use nix::sys::signal::Signal;
 use platform_standin::{
     MinionServer, OrderFaults, QueueRecord, StoreMode, StoreStandin, Topic, configuration, minion,
@@ -394,6 +394,7 @@
                 labels: vec!["a".into()],
                 draining: false,
                 born: 1,
+                sequence: Sequence(0),
                 kind: "a".into(),
             });
         }
--- a/components/soak/tests/checks.rs
+++ b/components/soak/tests/checks.rs
@@ -1,6 +1,8 @@
 //! Tests that each violation that a run checks for is found.
 
-use kernel::{Fence, Gpus, LeaseTime, Mebibytes, MilliCores, Millis, MinionId, RunNumber};
+use kernel::{
+    Fence, Gpus, LeaseTime, Mebibytes, MilliCores, Millis, MinionId, RunNumber, Sequence,
+};
 use platform_standin::{Answer, Job};
 use schedule::{MinionInfo, Resources, StartOrder, TaskName};
 use soak::{Attempt, Evacuation, Record, Violation, check, check_evacuations};
@@ -26,6 +28,7 @@
         labels: Vec::new(),
         draining: false,
         born: 1,
+        sequence: Sequence(0),
         kind: "a".into(),
     }
 }
