Blame a task, and not each minion, if it fails or hangs on a second one

What callers would see: less room, as a job that can't be done has minion after minion ejected. Cause, found by asking what else one job can do to minion after minion: each failed or hung run counted against its minion, although the task had failed elsewhere before. Change: the first failure is blamed on the minion at once, as a bad minion must be ejected soon; when the task fails on a second one the blame goes to the task, and an ejection that rests on such failures ends.

--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -4,7 +4,7 @@
 
 use crate::action::Action;
 use crate::ids::TaskName;
-use crate::job::{Outcome, TaskState};
+use crate::job::{Blame, Outcome, TaskState};
 use crate::minion::{EndKind, HoldOrder, HoldState, Listing, NextHold, StartReply};
 use crate::run::{Phase, Run};
 use crate::scheduler::Scheduler;
@@ -274,10 +274,12 @@
                 EndKind::Done if run.job.is_some() => {
                     minion.health.record_success(ratio, kind_ratio);
                 }
-                EndKind::Failed if run.job.is_some() => minion.health.record_failure(),
                 _ => {}
             }
         }
+        if kind == EndKind::Failed {
+            self.blame_failure(id, run);
+        }
         if run.job.is_some() && matches!(kind, EndKind::Failed | EndKind::Lapsed) {
             let failed = Action::Failed(id.clone(), run.task.clone(), run.number, kind);
             self.actions.push(failed);
@@ -313,6 +315,34 @@
         }
     }
 
+    /// Decides whether a run that failed or hung counts against its minion. A task
+    /// that fails on a second minion is at fault itself, or a job that can't be done
+    /// would have one minion after another ejected.
+    pub(crate) fn blame_failure(&mut self, on: &MinionId, run: &Run) {
+        let Some((id, index)) = &run.job else {
+            return;
+        };
+        let blame = match self.jobs.get_mut(id) {
+            Some(job) => &mut job.tasks[*index].blame,
+            None => &mut Blame::Nobody,
+        };
+        match blame {
+            Blame::Task => {}
+            Blame::Minion(first) if first != on => {
+                if let Some(first) = self.minions.get_mut(first) {
+                    first.health.forgive_failure();
+                }
+                *blame = Blame::Task;
+            }
+            Blame::Nobody | Blame::Minion(_) => {
+                *blame = Blame::Minion(on.clone());
+                if let Some(minion) = self.minions.get_mut(on) {
+                    minion.health.record_failure();
+                }
+            }
+        }
+    }
+
     /// Counts a failed run. The job fails when the task has used up its
     /// attempts.
     fn run_failed(&mut self, run: &Run, now: Timestamp) {
--- a/components/schedule/src/health.rs
+++ b/components/schedule/src/health.rs
@@ -63,6 +63,8 @@
     pub probing: bool,
     /// Number of consecutive ejections.
     pub ejections: u32,
+    /// Number of failures for which the minion was last ejected.
+    ejected_for: u32,
 }
 
 impl Default for Health {
@@ -74,6 +76,7 @@
             ejected_until: None,
             probing: false,
             ejections: 0,
+            ejected_for: 0,
         }
     }
 }
@@ -98,6 +101,21 @@
         self.failures += 1;
     }
 
+    /// Withdraws a recorded failure, as the task has failed elsewhere too. Ends an
+    /// ejection that rests on such failures only.
+    pub fn forgive_failure(&mut self) {
+        if self.failures > 0 {
+            self.failures -= 1;
+        } else if self.ejected_for > 0 {
+            self.ejected_for -= 1;
+            if self.ejected_for == 0 {
+                self.ejected_until = None;
+                self.probing = false;
+                self.ejections = self.ejections.saturating_sub(1);
+            }
+        }
+    }
+
     /// Ejects the minion, each time for longer, and returns the duration.
     pub fn eject(&mut self, now: Timestamp, cfg: &ScheduleConfig) -> Millis {
         let doubled = cfg.eject_time.0.saturating_mul(1 << self.ejections.min(8));
@@ -105,6 +123,7 @@
         self.ejected_until = Some(now.after(span));
         self.ejections += 1;
         self.probing = true;
+        self.ejected_for = self.failures;
         self.failures = 0;
         self.slowness = 1.0;
         span
--- a/components/schedule/src/job.rs
+++ b/components/schedule/src/job.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use kernel::{Millis, RunNumber, Service, Timestamp};
+use kernel::{Millis, MinionId, RunNumber, Service, Timestamp};
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{JobId, TaskName};
@@ -116,6 +116,18 @@
     Done,
 }
 
+/// What is at fault if runs of a task fail or hang.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub(crate) enum Blame {
+    /// None did so far.
+    #[default]
+    Nobody,
+    /// The minion on which the first one did, as far as is known.
+    Minion(MinionId),
+    /// The task, as runs on two minions did.
+    Task,
+}
+
 /// A task of a running job.
 #[derive(Debug, Clone)]
 pub(crate) struct Task {
@@ -130,6 +142,8 @@
     pub run: RunNumber,
     /// Number of runs that failed.
     pub failures: u32,
+    /// What is at fault for failed and hung runs.
+    pub blame: Blame,
     /// Probability at the start of the latest run that it makes the job late,
     /// zero if it was not predicted.
     pub risk: f64,
@@ -188,6 +202,7 @@
                     state: TaskState::Waiting,
                     run: last,
                     failures: 0,
+                    blame: Blame::Nobody,
                     risk: 0.0,
                 });
             }
--- a/components/schedule/src/tick.rs
+++ b/components/schedule/src/tick.rs
@@ -72,6 +72,7 @@
         let cfg = self.cfg.clone();
         let mut stops = Vec::new();
         let mut lapsed_runs = Vec::new();
+        let mut hung_runs = Vec::new();
         // The runs of a minion that obeys another owner are not lost.
         let silent = self.minions.values();
         let silent = silent.filter(|m| m.missed_holds >= SILENT_MISSES && !m.runs.is_empty());
@@ -94,7 +95,7 @@
                 let listed_for = minion.last_listing.since(run.sent);
                 let hangs = run.job.is_some() && listed_for.0 as f64 > limit;
                 if hangs && run.stop_sent.is_none() {
-                    minion.health.record_failure();
+                    hung_runs.push((minion.info.id.clone(), run.clone()));
                     let hung = Action::Hung(minion.info.id.clone(), run.task.clone(), run.number);
                     self.actions.push(hung);
                     stops.push((minion.info.id.clone(), run.task.clone(), run.number));
@@ -107,6 +108,9 @@
                 }
             }
         }
+        for (id, run) in &hung_runs {
+            self.blame_failure(id, run);
+        }
         for (id, task, number) in stops {
             self.stop(&id, &task, number, now);
         }
