Soak: jobs that crash minions, and minions that shrink

Cause: random runs had neither, so that they could not have found the deadly task. Stand-ins that are down answer nothing, holds that wait included.

--- a/components/engine/tests/common/mod.rs
+++ b/components/engine/tests/common/mod.rs
@@ -85,6 +85,8 @@
             return HoldReply::NoAnswer;
         }
         match self.0.hold(id, order).await.unwrap() {
+            // The process has ended while the hold waited.
+            _ if self.0.is_down(id) => HoldReply::NoAnswer,
             Some(list) => HoldReply::Listed(list),
             None => HoldReply::Fenced,
         }
--- a/components/schedule/src/resources.rs
+++ b/components/schedule/src/resources.rs
@@ -41,6 +41,15 @@
         }
     }
 
+    /// Returns the smaller amount of each resource.
+    pub fn min(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+
     /// Returns the sum of both amounts.
     pub fn with(&self, other: &Resources) -> Resources {
         Resources {
--- a/components/soak/src/check.rs
+++ b/components/soak/src/check.rs
@@ -5,7 +5,7 @@
 use kernel::{Domain, HashMap, Millis, MinionId};
 use platform_standin::Answer;
 use schedule::{EndKind, JobId, MinionInfo, TaskName};
-use standins::{LeasedFleet, MinionViolation, RunEnd, RunStart};
+use standins::{Fate, LeasedFleet, MinionViolation, RunEnd, RunStart};
 
 use crate::records::{Attempt, Record};
 
@@ -24,6 +24,13 @@
 /// Failures of a task after which its job fails.
 const ATTEMPTS: usize = 3;
 
+/// Minions that must have crashed under a task before it may be given up.
+const CRASHES: usize = 2;
+
+/// Starts of a task that crashes all its minions from which it is started too
+/// often: three after three crashes.
+const CRASHING_STARTS: usize = 6;
+
 /// A violation of a guarantee that the VMs give to callers or the platform.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Violation {
@@ -35,8 +42,10 @@
     /// A job was reported as completed before all its tasks were done.
     Incomplete(JobId),
     /// A job was reported as failed, but none of its tasks had used up its
-    /// attempts.
+    /// attempts or been lost with two minions.
     NotFailed(JobId),
+    /// A task that crashes its minions was started too often.
+    Crashing(TaskName, usize),
     /// A task started that nobody submitted, or with other work than submitted.
     Unasked(TaskName),
     /// A planned stop of a VM ended a connection without an answer.
@@ -65,6 +74,12 @@
             Violation::NotFailed(job) => {
                 write!(f, "{job} was reported as failed, but has not failed")
             }
+            Violation::Crashing(task, starts) => {
+                write!(
+                    f,
+                    "{task} crashes its minions and was started {starts} times"
+                )
+            }
             Violation::Unasked(task) => {
                 write!(f, "{task} started, but was not submitted with this work")
             }
@@ -108,6 +123,7 @@
             None => violations.push(Violation::Unasked(start.task.clone())),
         }
     }
+    let lost = fleet.lost();
     let mut ended: HashMap<JobId, Vec<&RunEnd>> = HashMap::default();
     for end in &ends {
         if let Some(job) = end.task.job() {
@@ -118,7 +134,7 @@
         let id = &record.job.id;
         let starts = started.remove(id).unwrap_or_default();
         let ends = ended.remove(id).unwrap_or_default();
-        violations.extend(check_job(record, &starts, &ends));
+        violations.extend(check_job(record, &starts, &ends, &lost));
     }
     let unasked = started.into_values().flatten();
     violations.extend(unasked.map(|s| Violation::Unasked(s.task.clone())));
@@ -164,11 +180,23 @@
         .collect()
 }
 
-fn check_job(record: &Record, starts: &[&RunStart], ends: &[&RunEnd]) -> Vec<Violation> {
+fn check_job(
+    record: &Record,
+    starts: &[&RunStart],
+    ends: &[&RunEnd],
+    lost: &[(TaskName, u64)],
+) -> Vec<Violation> {
     let job = &record.job;
     let mut violations = Vec::new();
     let other = starts.iter().filter(|s| s.work != job.work);
     violations.extend(other.map(|s| Violation::Unasked(s.task.clone())));
+    let crashing = starts.iter().filter(|s| s.work.fate == Fate::Crashes);
+    let mut counts: HashMap<&TaskName, usize> = HashMap::default();
+    for start in crashing {
+        *counts.entry(&start.task).or_default() += 1;
+    }
+    let often = counts.into_iter().filter(|(_, n)| *n >= CRASHING_STARTS);
+    violations.extend(often.map(|(task, n)| Violation::Crashing(task.clone(), n)));
     let refused = |a: &Attempt| a.answer.is_some_and(Answer::not_run);
     if !record.open && record.attempts.iter().all(refused) {
         let ran = starts.first();
@@ -179,12 +207,17 @@
             let of = ends.iter().filter(|e| e.task == *task && e.kind == kind);
             of.filter(|e| e.at <= attempt.ended).count()
         };
+        let crashed = |task: &TaskName| {
+            let under = lost.iter().filter(|(t, _)| t == task);
+            under.filter(|(_, at)| *at <= attempt.ended).count()
+        };
+        let failed = |t: &TaskName| count(t, EndKind::Failed) >= ATTEMPTS || crashed(t) >= CRASHES;
         let names = || (0..job.tasks).map(|i| TaskName::new(&job.id, 0, i));
         match attempt.answer {
             Some(Answer::Completed) if names().any(|t| count(&t, EndKind::Done) == 0) => {
                 violations.push(Violation::Incomplete(job.id.clone()));
             }
-            Some(Answer::Failed) if names().all(|t| count(&t, EndKind::Failed) < ATTEMPTS) => {
+            Some(Answer::Failed) if !names().any(|t| failed(&t)) => {
                 violations.push(Violation::NotFailed(job.id.clone()));
             }
             _ => {}
--- a/components/soak/src/load.rs
+++ b/components/soak/src/load.rs
@@ -18,6 +18,9 @@
 /// Timeout of a job, which its caller states.
 const JOB_TIMEOUT: Millis = Millis(1_500);
 
+/// Timeout of a job that crashes minions, long enough for several starts.
+const PATIENT_TIMEOUT: Millis = Millis(8_000);
+
 /// Delay before a job without a final answer is resent, as by the platform's
 /// clients (`retransmit-ms`).
 const RESEND_DELAY: Duration = Duration::from_millis(1_300);
@@ -51,6 +54,8 @@
     version: AtomicU64,
     /// The factor on the rate, in thousandths.
     factor: AtomicU64,
+    /// The fraction of jobs that crash minions, in thousandths.
+    poison: AtomicU64,
     caller: Caller,
     lasting: QueueRecord,
 }
@@ -70,6 +75,7 @@
             fronts,
             version: AtomicU64::new(0),
             factor: AtomicU64::new(1_000),
+            poison: AtomicU64::new(0),
             caller: Caller::default(),
             lasting,
         })
@@ -91,15 +97,27 @@
             .store((factor * 1_000.0) as u64, Ordering::SeqCst);
     }
 
+    /// Sets the fraction of jobs that crash minions.
+    pub fn set_poison(&self, share: f64) {
+        self.poison
+            .store((share * 1_000.0) as u64, Ordering::SeqCst);
+    }
+
     /// Submits jobs until `end` is true, and then waits for the answers.
     pub async fn run(self: Arc<Load>, seed: u64, mut end: tokio::sync::watch::Receiver<bool>) {
         let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let mut poison_rng = Xoshiro256PlusPlus::seed_from_u64(!seed);
         let minions = self.fleet.infos().len() as f64;
         let mut calls = Vec::new();
         let mut number = 0;
         while !*end.borrow() {
             number += 1;
-            let call = Call::draw(&mut rng, seed, number, self.fronts.len());
+            let mut call = Call::draw(&mut rng, seed, number, self.fronts.len());
+            if poison_rng.random_range(0..1_000) < self.poison.load(Ordering::SeqCst) {
+                call.job.work.fate = Fate::Crashes;
+                call.job.tasks = 1;
+                call.job.timeout = PATIENT_TIMEOUT;
+            }
             calls.push(tokio::spawn(self.clone().call(call)));
             let factor = self.factor.load(Ordering::SeqCst) as f64 / 1_000.0;
             let mean = 1.0 / (RATE * minions * factor);
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -22,6 +22,16 @@
 /// within which it must be in force.
 const EVACUATION_MS: std::ops::Range<u64> = 6_000..12_000;
 
+/// Duration of poisoned jobs and of shrunk capacities in milliseconds: longer than
+/// these may go unknown.
+const MINION_FAULT_MS: std::ops::Range<u64> = 3_000..10_000;
+
+/// Greatest number of times in a plan that callers send poisoned jobs.
+const POISONINGS: usize = 2;
+
+/// Greatest number of times in a plan that a minion shrinks.
+const SHRINKINGS: usize = 3;
+
 /// Greatest number of evacuations in a plan.
 const EVACUATIONS: usize = 2;
 
@@ -98,6 +108,11 @@
     Burst(f64),
     /// The operator has a domain evacuated.
     Evacuate(usize),
+    /// A fraction of the jobs that callers send have tasks that crash the minions
+    /// that start them.
+    Poison(f64),
+    /// A minion has half of its capacity.
+    Shrink(usize),
 }
 
 impl Fault {
@@ -126,6 +141,8 @@
             Fault::Configure => "configure",
             Fault::Burst(_) => "burst",
             Fault::Evacuate(_) => "evacuate",
+            Fault::Poison(_) => "poison",
+            Fault::Shrink(_) => "shrink",
         }
     }
 
@@ -154,6 +171,8 @@
             | Fault::Orders(_)
             | Fault::Configure
             | Fault::Burst(_)
+            | Fault::Poison(_)
+            | Fault::Shrink(_)
             | Fault::Evacuate(_) => false,
         }
     }
@@ -212,6 +231,7 @@
             }
         }
         steps.extend(draw_evacuations(seed, shape, span));
+        steps.extend(draw_minion_faults(seed, shape, span));
         steps.retain(|s| s.at < span);
         steps.sort_by_key(|s| s.at);
         Plan {
@@ -253,6 +273,34 @@
     steps
 }
 
+/// Draws jobs that crash minions, and minions that shrink. They too have a
+/// generator of their own.
+fn draw_minion_faults(seed: u64, shape: Shape, span: Millis) -> Vec<Step> {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed.rotate_left(32));
+    let poison = rng.random_range(0..=POISONINGS);
+    let shrink = rng.random_range(0..=SHRINKINGS);
+    let mut step = |fault| {
+        let at = rng.random_range(WARM_UP.0..=WARM_UP.0.max(span.0));
+        Step {
+            at: Millis(at),
+            span: Millis(
+                rng.random_range(MINION_FAULT_MS)
+                    .min(span.0.saturating_sub(at)),
+            ),
+            fault,
+        }
+    };
+    let mut steps = Vec::new();
+    for i in 0..poison {
+        steps.push(step(Fault::Poison(0.02 * (i + 1) as f64)));
+    }
+    for i in 0..shrink {
+        let minion = (seed as usize + i) % (shape.minions * shape.domains);
+        steps.push(step(Fault::Shrink(minion)));
+    }
+    steps
+}
+
 fn draw(rng: &mut Xoshiro256PlusPlus, shape: Shape) -> Fault {
     let vm = rng.random_range(0..shape.vms);
     let minion = rng.random_range(0..shape.minions * shape.domains);
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -200,6 +200,11 @@
                 _ => None,
             });
             self.load.set_factor(bursts.fold(1.0, f64::max));
+            let poison = active.iter().filter_map(|(_, t)| match t {
+                Fault::Poison(share) => Some(*share),
+                _ => None,
+            });
+            self.load.set_poison(poison.fold(0.0, f64::max));
             self.supervise(site).await?;
             if now >= plan.span && active.is_empty() {
                 return Ok(());
--- a/components/soak/src/site.rs
+++ b/components/soak/src/site.rs
@@ -270,8 +270,9 @@
             }
             Fault::Orders(faults) => self.servers.iter().for_each(|s| s.set(faults)),
             Fault::Configure => self.publish_configuration()?,
-            // The run sets the factor on the load.
-            Fault::Burst(_) => {}
+            // The run sets these of the load.
+            Fault::Burst(_) | Fault::Poison(_) => {}
+            Fault::Shrink(i) => self.resize(i, |cpu| cpu / 2),
             Fault::Evacuate(i) => self.evacuate(i),
         }
         Ok(())
@@ -298,6 +299,7 @@
             }
             Fault::Slow(i, _) => self.fleet.change(&self.ids[i], |m, _| m.slowness = 1.0),
             Fault::Fail(i) => self.fleet.change(&self.ids[i], |m, _| m.fail_all = false),
+            Fault::Shrink(i) => self.resize(i, |cpu| cpu * 2),
             Fault::Evacuate(i) => self.end_evacuation(i),
             Fault::Orders(_) => {
                 let none = OrderFaults::default();
@@ -308,6 +310,18 @@
         Ok(())
     }
 
+    /// Changes the cores of a minion while it runs.
+    fn resize(&mut self, i: usize, change: impl Fn(u32) -> u32) {
+        self.fleet.change(&self.ids[i], |minion, now| {
+            let mut capacity = minion.info.capacity;
+            capacity.cpu = MilliCores(change(capacity.cpu.0));
+            minion.resize(capacity, now);
+        });
+        if !self.down[i] {
+            self.publish_minion(i);
+        }
+    }
+
     /// Has a domain evacuated, as the operator does.
     fn evacuate(&mut self, i: usize) {
         let domain = &self.domains[i];
--- a/components/standins/src/leased.rs
+++ b/components/standins/src/leased.rs
@@ -22,6 +22,10 @@
 /// Time for which a crashed minion is down.
 const CRASH_TIME: Millis = Millis(3_000);
 
+/// Time for which a shrunk capacity need not be known yet (`bounds.contact-ms` and
+/// a heartbeat).
+const SHRINK_GRACE: Millis = Millis(4_500);
+
 /// Maximum number of ended runs in one listing.
 const MAX_ENDS: usize = 500;
 
@@ -58,6 +62,13 @@
     started: u64,
     /// The time at which the process starts again, while it is down.
     down_until: Option<u64>,
+    /// The resources that runs may take: the capacity, but more for a while after
+    /// it has shrunk and until the runs from before have ended.
+    limit: Resources,
+    /// The time until which the limit stays above a shrunk capacity.
+    limit_until: u64,
+    /// Runs that ended with the process, with the time.
+    lost: Vec<(TaskName, u64)>,
     running: BTreeMap<(TaskName, RunNumber), LeasedRun>,
     /// The highest run number of each task that ended or was stopped.
     last_ended: BTreeMap<TaskName, RunNumber>,
@@ -71,6 +82,9 @@
     /// Creates a minion that runs nothing and has seen no token.
     pub fn new(info: MinionInfo) -> LeasedMinion {
         LeasedMinion {
+            limit: info.capacity,
+            limit_until: 0,
+            lost: Vec::new(),
             info,
             fail_all: false,
             slowness: 1.0,
@@ -102,6 +116,23 @@
         needs.fold(Resources::default(), |sum, need| sum.with(need))
     }
 
+    /// Returns whether runs take more than the capacity that they may count on.
+    pub fn is_overfull(&self) -> bool {
+        !self.used().fits(&self.limit)
+    }
+
+    /// Returns the tasks whose runs ended with the process, each with the time.
+    pub fn lost(&self) -> &[(TaskName, u64)] {
+        &self.lost
+    }
+
+    /// Changes the capacity while the process runs.
+    pub fn resize(&mut self, capacity: Resources, now: u64) {
+        self.info.capacity = capacity;
+        self.limit = self.limit.max(&capacity);
+        self.limit_until = now + SHRINK_GRACE.0;
+    }
+
     /// Returns the highest fencing token seen.
     pub fn fence(&self) -> Fence {
         Fence(self.fence)
@@ -113,18 +144,27 @@
         let mut info = self.info.clone();
         info.born += 1;
         let rate = self.clock_rate;
+        self.lose_runs(now);
+        let lost = std::mem::take(&mut self.lost);
         *self = LeasedMinion::new(info);
+        self.lost = lost;
         self.started = now;
         self.clock_rate = rate;
     }
 
     /// Ends the minion's process. It answers no order until it is back.
     pub fn crash(&mut self, now: u64) {
-        self.running.clear();
+        self.lose_runs(now);
         self.ended.clear();
         self.down_until = Some(now + CRASH_TIME.0);
     }
 
+    fn lose_runs(&mut self, now: u64) {
+        let runs = std::mem::take(&mut self.running);
+        self.lost
+            .extend(runs.into_keys().map(|(task, _)| (task, now)));
+    }
+
     /// Returns whether the minion's process is down, so that orders get no answer.
     pub fn is_down(&self) -> bool {
         self.down_until.is_some()
@@ -153,6 +193,9 @@
         for ((task, run), kind) in ending {
             self.end(task, run, kind);
         }
+        if now >= self.limit_until {
+            self.limit = self.info.capacity.max(&self.limit.min(&self.used()));
+        }
         self.ended[first..].to_vec()
     }
 
@@ -206,6 +249,7 @@
             return StartReply::Old(clock);
         }
         if work.fate == Fate::Crashes {
+            self.lost.push((order.task.clone(), now));
             self.crash(now);
             return StartReply::NoAnswer;
         }
--- a/components/standins/src/leased_fleet.rs
+++ b/components/standins/src/leased_fleet.rs
@@ -8,7 +8,7 @@
 
 use kernel::{LeaseTime, MinionId, RunNumber};
 use schedule::{
-    EndKind, HoldOrder, Listing, MinionInfo, Resources, StartOrder, StartReply, StopOrder, TaskName,
+    EndKind, HoldOrder, Listing, MinionInfo, StartOrder, StartReply, StopOrder, TaskName,
 };
 
 use crate::leased::LeasedMinion;
@@ -90,11 +90,10 @@
                 });
             }
         }
-        let used: Resources = minion.used();
-        if !used.fits(&minion.info.capacity) {
+        if minion.is_overfull() {
             violations.push(MinionViolation::Overfull {
                 minion: id.clone(),
-                used: used.to_string(),
+                used: minion.used().to_string(),
             });
         }
     }
@@ -239,6 +238,13 @@
         self.advance().0.ends.clone()
     }
 
+    /// Returns the tasks whose runs ended with their minion, each with the time.
+    pub fn lost(&self) -> Vec<(TaskName, u64)> {
+        let (state, _) = self.advance();
+        let minions = state.minions.values();
+        minions.flat_map(|m| m.lost().iter().cloned()).collect()
+    }
+
     /// Returns the number of runs in progress.
     pub fn running(&self) -> usize {
         let (state, _) = self.advance();
