--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -39,7 +39,7 @@
     pub evacuations: ArcSwap<Evacuations>,
     /// Register of minions; empty until it has been read.
     pub register: ArcSwapOption<Vec<MinionInfo>>,
-    /// How far and when this VM has read the register.
+    /// Progress of reading the register.
     pub register_read: Mutex<RegisterRead>,
     /// Shards that this VM owns.
     pub owned: ArcSwap<HashMap<Shard, Arc<Owned>>>,
@@ -80,7 +80,7 @@
         lock(&self.peers)
     }
 
-    /// Returns how far and when this VM has read the register.
+    /// Returns the progress of reading the register.
     pub fn register_read(&self) -> RegisterRead {
         *lock(&self.register_read)
     }
--- a/components/engine/src/crashes.rs
+++ b/components/engine/src/crashes.rs
@@ -18,7 +18,7 @@
 /// Shortest time between heartbeats to all VMs because of new records.
 const NEWS_INTERVAL: Millis = Millis(100);
 
-/// The records that this VM knows, and those that it has to tell.
+/// The records of lost runs, and those that other VMs may lack.
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
     /// All records.
--- a/components/engine/src/register.rs
+++ b/components/engine/src/register.rs
@@ -4,7 +4,7 @@
 use kernel::{HashMap, Millis, Offset, Timestamp};
 use schedule::MinionInfo;
 
-/// How far and when a VM has read the register in the store.
+/// Progress of reading the register in the store.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct RegisterRead {
     /// Offset after the last record that was read, here or by another VM from
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -36,14 +36,14 @@
     /// later one under the same id is another process, which runs nothing of
     /// the previous one.
     pub born: u64,
-    /// Number of this entry among those of the process. The capacity may shrink
-    /// and grow again from one to the next.
-    #[serde(default)]
-    pub sequence: Sequence,
     /// The platform's label for the kind of machine; empty if it gives none.
     /// Minions of the same kind and capacity are expected to have the same speed.
     #[serde(default)]
     pub kind: CompactString,
+    /// Number of this entry among those of the process. The capacity may shrink
+    /// and grow again from one to the next.
+    #[serde(default)]
+    pub sequence: Sequence,
 }
 
 impl MinionInfo {
--- a/components/schedule/src/transfer.rs
+++ b/components/schedule/src/transfer.rs
@@ -74,13 +74,13 @@
 pub struct MinionTransfer {
     /// The minion's entry in the register.
     pub info: MinionInfo,
-    /// Largest capacity that the minion has had in this life, if known.
-    #[serde(default)]
-    pub size: Option<Resources>,
     /// Sequence number of the last end that was processed.
     pub seen: u64,
     /// Runs that may be on the minion.
     pub runs: Vec<RunTransfer>,
+    /// Largest capacity that the minion has had in this life, if known.
+    #[serde(default)]
+    pub size: Option<Resources>,
 }
 
 /// The jobs and minions of a shard in a handover.
