Bound what crash records take of the links

Change: twice to the VMs that get frequent heartbeats, which run jobs here or would take the shard, and twice to all others with their regular ones. Tests: engine passes, submitted_again and owner_killed among them.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -105,7 +105,6 @@
         let changes = core.peers().tick(&shards, now);
         let found = core.room_found.swap(false, Ordering::Relaxed);
         let urgent = found || changes.iter().any(Change::is_own);
-        let urgent = urgent || lock(&core.crashes).is_urgent(now);
         apply_changes(&core, changes);
         for owned in core.owned.load().values() {
             tick_shard(&core, owned, now);
--- a/components/engine/src/crashes.rs
+++ b/components/engine/src/crashes.rs
@@ -2,7 +2,7 @@
 //! that a task that crashes its minions is known wherever its job is submitted or
 //! run again (docs/design/crashes.md).
 
-use kernel::{Millis, Timestamp};
+use kernel::Timestamp;
 use metrics::{Count, Gauge};
 use schedule::{CrashLog, CrashRecord, JobId, LossState};
 
@@ -12,43 +12,47 @@
 /// Maximum number of records in a heartbeat.
 const MAX_NEWS: usize = 24;
 
-/// Number of heartbeats to all VMs that carry a record, as some may be lost.
+/// Number of heartbeats to the same VMs that carry a record, as some may be lost.
+/// It bounds what records take of the links, whatever the number of VMs.
 const SENDINGS: u8 = 2;
 
-/// Shortest time between heartbeats to all VMs because of new records.
-const NEWS_INTERVAL: Millis = Millis(100);
+/// VMs that get the same heartbeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Audience {
+    /// Those that get one at the shortest interval, among them those that would
+    /// take this VM's shards.
+    Frequent,
+    /// All others.
+    Rest,
+}
+
+/// A record that other VMs may lack.
+#[derive(Debug)]
+struct News {
+    record: CrashRecord,
+    /// Number of times that it is still sent to each audience.
+    left: [u8; 2],
+}
 
 /// The records of lost runs, and those that other VMs may lack.
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
     /// All records.
     pub log: CrashLog,
-    /// Records of this VM's shards that other VMs may not know yet, with the
-    /// number of times that they are still sent to all.
-    news: Vec<(CrashRecord, u8)>,
-    /// Time at which news were last sent to all VMs.
-    sent: Timestamp,
+    news: Vec<News>,
 }
 
 impl Crashes {
-    /// Returns whether news are to be sent to all VMs at once.
-    pub fn is_urgent(&self, now: Timestamp) -> bool {
-        !self.news.is_empty() && now.since(self.sent) >= NEWS_INTERVAL
-    }
-
-    /// Returns the news for a heartbeat.
-    pub fn news(&self) -> Vec<CrashRecord> {
-        let news = self.news.iter().take(MAX_NEWS);
-        news.map(|(record, _)| record.clone()).collect()
-    }
-
-    /// Records that the news of a heartbeat were sent to all VMs.
-    pub fn record_sent(&mut self, now: Timestamp) {
-        self.sent = now;
-        for (_, left) in self.news.iter_mut().take(MAX_NEWS) {
-            *left -= 1;
-        }
-        self.news.retain(|(_, left)| *left > 0);
+    /// Returns the records for the next heartbeat to an audience.
+    pub fn take_news(&mut self, to: Audience) -> Vec<CrashRecord> {
+        let due = self.news.iter_mut().filter(|n| n.left[to as usize] > 0);
+        let due = due.take(MAX_NEWS).map(|news| {
+            news.left[to as usize] -= 1;
+            news.record.clone()
+        });
+        let records = due.collect();
+        self.news.retain(|n| n.left != [0; 2]);
+        records
     }
 }
 
@@ -68,7 +72,8 @@
         }
     }
     learn(core, std::slice::from_ref(&record));
-    lock(&core.crashes).news.push((record, SENDINGS));
+    let left = [SENDINGS; 2];
+    lock(&core.crashes).news.push(News { record, left });
 }
 
 /// Adds records to those that this VM and the schedulers of its shards know.
--- a/components/engine/src/timetable.rs
+++ b/components/engine/src/timetable.rs
@@ -11,6 +11,7 @@
 
 use crate::beats::{MAX_HEARTBEAT, MAX_KNOWN, REGULAR_KNOWN, own_evidence, own_heartbeat, send_to};
 use crate::core::{Core, lock};
+use crate::crashes::Audience;
 
 /// Number of heartbeats at the shortest interval that a VM still gets when it no
 /// longer needs them. They announce the longer interval, and some may be lost.
@@ -79,26 +80,26 @@
             }
         };
         heartbeat.interval = interval;
-        heartbeat.crashes = lock(&core.crashes).news();
         let evidence = own_evidence(core, now);
         let to_all = self.last_all == now && now.since(self.evidence_all) >= EVIDENCE_ALL;
         if to_all {
             self.evidence_all = now;
             heartbeat.evidence = evidence.clone();
         }
+        if self.last_all == now {
+            heartbeat.crashes = lock(&core.crashes).take_news(Audience::Rest);
+        }
         send_to(core, &heartbeat, &rest).await;
         heartbeat.evidence = EvidenceReport::default();
         if now.since(self.evidence_short) >= EVIDENCE_SHORT {
             self.evidence_short = now;
             heartbeat.evidence = evidence;
         }
+        heartbeat.crashes = lock(&core.crashes).take_news(Audience::Frequent);
         heartbeat.interval = least;
         heartbeat.known.clear();
         let wanted: Vec<_> = wanted.into_iter().collect();
         send_to(core, &heartbeat, &wanted).await;
-        if self.last_all == now {
-            lock(&core.crashes).record_sent(now);
-        }
     }
 }
 
