--- a/components/schedule/src/config.rs
+++ b/components/schedule/src/config.rs
@@ -36,7 +36,7 @@
     /// them fail, the cause is likely elsewhere.
     pub eject_share: f64,
     /// Largest share of the minions that are kept for tasks that may crash them.
-    pub probe_share: f64,
+    pub suspect_share: f64,
     /// Fraction of its latency objective for which a job that is expected to be
     /// late may wait for its first start. It is refused then, because a later
     /// refusal only costs the caller time.
@@ -62,7 +62,7 @@
             eject_time: Millis(2_000),
             eject_max: Millis(16_000),
             eject_share: 0.35,
-            probe_share: 0.2,
+            suspect_share: 0.2,
             refuse_fraction: 0.25,
             reply_slack: Millis(20),
             retention: Millis(10_000),
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -302,13 +302,13 @@
         self.hold_state == HoldState::Held
             && !self.info.draining
             && !self.full
-            && !self.is_probed()
+            && !self.hosts_suspect()
             && !probed
             && !self.health.is_ejected(now)
     }
 
-    /// Returns whether the minion is kept for a single run that may crash it.
-    pub fn is_probed(&self) -> bool {
+    /// Returns whether the minion is kept for a suspect, the only run on it.
+    pub fn hosts_suspect(&self) -> bool {
         self.runs.iter().any(|r| r.alone)
     }
 
--- a/components/schedule/src/start.rs
+++ b/components/schedule/src/start.rs
@@ -55,8 +55,8 @@
         let mut placements = Vec::new();
         let mut blocked = 0;
         let accused = |id: &JobId| self.crashes.accuses(id);
-        let mut probes = match self.queue.iter().any(accused) {
-            true => self.probe_room(),
+        let mut suspect_room = match self.queue.iter().any(accused) {
+            true => self.suspect_room(),
             false => 0,
         };
         for id in &self.queue {
@@ -97,7 +97,7 @@
                     true => self.crashes.verdict(&task.name, now),
                     false => Verdict::Clear,
                 };
-                let mut alone = verdict != Verdict::Clear && probes > 0;
+                let mut alone = verdict != Verdict::Clear && suspect_room > 0;
                 let choice = match verdict {
                     Verdict::OnHold(_) | Verdict::Poison => continue,
                     Verdict::Isolated if !alone || isolated_run => continue,
@@ -114,7 +114,7 @@
                 match choice {
                     Choice::Start(minion, risk) => {
                         worst = worst.max(risk);
-                        probes = probes.saturating_sub(usize::from(alone));
+                        suspect_room = suspect_room.saturating_sub(usize::from(alone));
                         isolated_run |= verdict == Verdict::Isolated;
                         placements.push(Placement {
                             job: id.clone(),
--- a/components/schedule/src/suspects.rs
+++ b/components/schedule/src/suspects.rs
@@ -77,11 +77,11 @@
 
     /// Returns the number of minions that may be given to suspects now, so that
     /// these take only a part of the shard.
-    pub(crate) fn probe_room(&self) -> usize {
-        let held = self.held_count() as f64 * self.cfg.probe_share;
-        let most = (held as usize).max(MIN_PROBES);
-        let probed = self.minions.values().filter(|m| m.is_probed()).count();
-        most.saturating_sub(probed)
+    pub(crate) fn suspect_room(&self) -> usize {
+        let held = self.held_count() as f64 * self.cfg.suspect_share;
+        let most = (held as usize).max(MIN_SUSPECTS);
+        let kept = self.minions.values().filter(|m| m.hosts_suspect()).count();
+        most.saturating_sub(kept)
     }
 
     /// Returns whether a task of the job that must be alone on its minion may be
@@ -93,8 +93,8 @@
     }
 }
 
-/// Number of suspects that even a small shard probes at once.
-const MIN_PROBES: usize = 2;
+/// Number of minions that even a small shard keeps for suspects.
+const MIN_SUSPECTS: usize = 2;
 
 /// Returns what a minion's present state says of a loss.
 fn observe_loss(minion: &Minion, record: &CrashRecord, since: Timestamp) -> LossState {
