--- a/components/soak/tests/plans.rs
+++ b/components/soak/tests/plans.rs
@@ -24,7 +24,7 @@
     let plans = (0..60).map(|seed| Plan::draw(seed, SHAPE, Millis(12_000)));
     let steps: Vec<_> = plans.flat_map(|p| p.steps).collect();
     let kinds: BTreeSet<_> = steps.iter().map(|s| s.fault.kind()).collect();
-    assert_eq!(kinds.len(), 22, "{kinds:?}");
+    assert_eq!(kinds.len(), 24, "{kinds:?}");
 }
 
 #[test]
