--- a/components/schedule/src/crash.rs
+++ b/components/schedule/src/crash.rs
@@ -9,8 +9,9 @@
 use crate::action::LossCause;
 use crate::ids::{JobId, TaskName};
 
-/// Number of crashes under a task, one of them with nothing else on the minion,
-/// at which the task is given up.
+/// Number of crashes under a task, each with nothing else on the minion, at which
+/// the task is given up. One beside others proves nothing: the start may have come
+/// to a minion that another task had crashed just before.
 const CRASHES: usize = 2;
 
 /// Number of lost minions under a task at which it is given up although it is not
@@ -114,10 +115,13 @@
     Poison,
 }
 
-/// A record and the time of its last change.
+/// A record and its times.
 #[derive(Debug, Clone)]
 struct Entry {
     record: CrashRecord,
+    /// Time at which the loss became known.
+    known: Timestamp,
+    /// Time of the last change.
     changed: Timestamp,
 }
 
@@ -152,6 +156,7 @@
             if room {
                 entries.push(Entry {
                     record,
+                    known: now,
                     changed: now,
                 });
             }
@@ -174,24 +179,21 @@
             return Verdict::Clear;
         };
         let counted = entries.iter().filter(|e| e.record.counts());
-        let losses: Vec<_> = counted.clone().filter(|e| e.record.task == *task).collect();
-        let alone = losses.iter().any(|e| e.record.alone);
-        let confirmed = losses
-            .iter()
-            .filter(|e| e.record.state == LossState::Confirmed);
-        if losses.is_empty() {
-            return Verdict::Clear;
-        }
-        if losses.len() >= LOSSES || confirmed.count() >= CRASHES && alone {
-            return Verdict::Poison;
-        }
-        if losses.len() >= CRASHES {
-            let last = losses.iter().map(|e| e.changed).max().unwrap_or(now);
-            let proved_by = last.after(PROOF_TIME);
-            return match alone && now < proved_by {
-                true => Verdict::OnHold(proved_by),
-                false => Verdict::Isolated,
-            };
+        let losses = counted.clone().filter(|e| e.record.task == *task);
+        let alone = losses.clone().filter(|e| e.record.alone);
+        let mut proved = alone.clone();
+        let proved = proved.all(|e| e.record.state == LossState::Confirmed);
+        let proved_by = alone.clone().map(|e| e.known.after(PROOF_TIME)).max();
+        match (losses.count(), alone.count()) {
+            (0, _) => return Verdict::Clear,
+            (LOSSES.., _) => return Verdict::Poison,
+            (_, CRASHES..) if proved => return Verdict::Poison,
+            (_, CRASHES..) => {
+                let waits = proved_by.filter(|at| now < *at);
+                return waits.map_or(Verdict::Isolated, Verdict::OnHold);
+            }
+            (CRASHES.., _) => return Verdict::Isolated,
+            _ => {}
         }
         let minions: HashSet<_> = counted.map(|e| (&e.record.minion, e.record.born)).collect();
         match minions.len() >= JOB_LOSSES {
@@ -251,7 +253,7 @@
         let suspected = entries.filter(|e| e.record.state == LossState::Suspected);
         let mut changed = Vec::new();
         for entry in suspected {
-            let state = observe(&entry.record, entry.changed);
+            let state = observe(&entry.record, entry.known);
             if state > entry.record.state {
                 entry.record.state = state;
                 entry.changed = now;
--- a/components/schedule/src/suspects.rs
+++ b/components/schedule/src/suspects.rs
@@ -59,19 +59,23 @@
         };
         let changed = self.crashes.resolve(observe, now);
         self.actions.extend(changed.into_iter().map(Action::Crash));
-        let given_up = self.jobs.iter().filter_map(|(id, job)| {
+        let accused = self.jobs.iter().filter_map(|(id, job)| {
             let (verdict, task) = self.crashes.worst_of(id, now)?;
-            let hopeless = match verdict {
-                Verdict::Poison => true,
+            let outcome = match verdict {
+                Verdict::Poison => Outcome::Failed,
                 // The task could not end in time if it were found sound.
-                Verdict::OnHold(until) => until.after(job.expected) >= job.deadline,
-                _ => false,
+                Verdict::OnHold(until) if until.after(job.expected) >= job.deadline => {
+                    Outcome::Expired
+                }
+                _ => return None,
             };
-            hopeless.then(|| (id.clone(), task.clone()))
+            Some((id.clone(), task.clone(), outcome))
         });
-        for (id, task) in given_up.collect::<Vec<_>>() {
-            self.actions.push(Action::GivenUp(task));
-            self.settle(&id, Outcome::Failed, now);
+        for (id, task, outcome) in accused.collect::<Vec<_>>() {
+            if outcome == Outcome::Failed {
+                self.actions.push(Action::GivenUp(task));
+            }
+            self.settle(&id, outcome, now);
         }
     }
 
