--- a/components/engine/src/register.rs
+++ b/components/engine/src/register.rs
@@ -15,7 +15,8 @@
 }
 
 /// Adds the entries of `other` that are later than those in `minions`, which are
-/// sorted by id, and those of further minions. Returns true if anything but a number has changed.
+/// sorted by id, and those of further minions. Returns true if that changes more
+/// than an entry's number.
 pub(crate) fn merge(minions: &mut Vec<MinionInfo>, other: &[MinionInfo]) -> bool {
     let mut changed = false;
     for info in other {
--- a/components/schedule/src/crash.rs
+++ b/components/schedule/src/crash.rs
@@ -202,7 +202,7 @@
         }
     }
 
-    /// Returns the worst verdict on a task of the job, and the task.
+    /// Returns the task of the job with the worst verdict.
     pub fn worst_of(&self, job: &JobId, now: Timestamp) -> Option<(Verdict, &TaskName)> {
         let tasks = self.jobs.get(job)?.iter().map(|e| &e.record.task);
         tasks.map(|t| (self.verdict(t, now), t)).max()
