--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,9 +9,9 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import loopback as lib  # noqa: E402
 
-LATE_SHARE = float(os.environ.get("LATE_SHARE", "0.5"))
-STOPS = int(os.environ.get("STOPS", "3"))
-RATE = 6.0
+LATE_SHARE = float(os.environ.get("LATE_SHARE", "0.055"))
+STOPS = int(os.environ.get("STOPS", "5"))
+RATE = 13.0
 
 
 async def case(new_site, trouble, record):
@@ -27,12 +27,12 @@
         """Sends a job whose tasks take far longer than estimated, and again after a 504."""
         ident = lib.new_id()
         home = [v for v in site.vms if v.zone == "suva-a" and v.running()]
-        answer = await site.submit(random.choice(home), ident, 8000, 4, 1500, 2500, cpu=7000)
+        answer = await site.submit(random.choice(home), ident, 8000, 10, 1500, 2500, cpu=1400)
         answers[answer] = answers.get(answer, 0) + 1
         if answer in ("504", "502", "broken", "deadline"):
             await asyncio.sleep(lib.RETRANSMIT_S)
             away = [v for v in site.vms if v.zone == "nadi-b"]
-            await site.submit(random.choice(away), ident, 8000, 4, 1500, 2500, cpu=7000)
+            await site.submit(random.choice(away), ident, 8000, 10, 1500, 2500, cpu=1400)
 
     clients = set()
 
@@ -56,7 +56,7 @@
         owner.signal(signal.SIGTERM)
         await asyncio.sleep(4)
         site.order_fault = None
-        await asyncio.sleep(2)
+        await asyncio.sleep(1)
         if owner.running():
             owner.signal(signal.SIGKILL)
             owner.process.wait()
