Refuse calls between VMs that were held up on their way

Cause: a job call carried the time that the job had left, not when it was sent. TCP delivers what a cut held up, and the owner started the job, whose entry VM had given it up after 450 ms without a heartbeat and run it elsewhere 1.2 s later. A handover is the same kind of call: one that was held up gave the next owner jobs given up long before.

Ruled out: the close of the connection as the remedy, as it arrives a round trip after the call; deadlines by the time of day, as clocks jump.

Change: heartbeats carry their sender's steady clock. A call sends the receiver's clock back, with the time since the heartbeat added, and is refused as not started from 450 ms of age on; the answer brings the clock for another try. A call is a sign of life as of its sending. The pump of the test network delivers the close of a connection that was held a round trip after the bytes, as TCP does.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -35,8 +35,9 @@
 pub(crate) const REGULAR_KNOWN: usize = 4;
 
 /// Time in milliseconds for which a job that was handed over, or its outcome,
-/// is kept until the VM of its caller asks for it.
-const UNCLAIMED_MS: u64 = 500;
+/// is kept until the VM of its caller asks for it. It counts from the sending of the
+/// handover, which takes up to 450 ms.
+const UNCLAIMED_MS: u64 = 600;
 
 /// Receives heartbeats until the runtime ends.
 pub(crate) async fn receive<M: Minions>(core: Arc<Core<M>>) {
@@ -347,6 +348,7 @@
         evidence: EvidenceReport::default(),
         register: core.register_read().end,
         crashes: Vec::new(),
+        sent: now,
     }
 }
 
--- a/components/engine/src/calls.rs
+++ b/components/engine/src/calls.rs
@@ -9,8 +9,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use kernel::Millis;
-use ownership::Shard;
+use kernel::{Millis, Timestamp};
+use metrics::Count;
+use ownership::{SentAt, Shard};
 use schedule::{CrashRecord, JobId, JobSpec, Load, MinionInfo, Outcome, Transfer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -44,6 +45,11 @@
 /// Time within which a message must have arrived.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Age from which a call between VMs is no longer accepted. A caller gives a job up
+/// once it has not heard the owner for as long, and may run it elsewhere 1.2 s later;
+/// the owner ends the job within as long again without a heartbeat of the caller.
+pub(crate) const MAX_CALL_AGE: Millis = Millis(450);
+
 /// Size of a call's headers in bytes.
 const HEAD_BYTES: usize = 100;
 
@@ -60,6 +66,9 @@
     /// Losses under the job's tasks, as the owner may have started after them.
     #[serde(default)]
     pub crashes: Vec<CrashRecord>,
+    /// Time at which the call was sent, as far as its sender can tell.
+    #[serde(default)]
+    pub sent: Option<SentAt>,
 }
 
 /// An action requested of a shard's owner.
@@ -87,6 +96,19 @@
         /// Present load of the shard, for the choice of the next offer.
         load: Load,
     },
+    /// The call may have been on its way for too long. The job was not run. A call
+    /// sent now has this time of sending.
+    Late(SentAt),
+}
+
+/// The next owner's answer to a [`Handover`].
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) enum HandoverReply {
+    /// The VM owns the shard, or did already.
+    Accepted,
+    /// The handover may have been on its way for too long and was not accepted. One
+    /// sent now has this time of sending.
+    Late(SentAt),
 }
 
 /// The state of a shard that is handed over to its next owner.
@@ -104,6 +126,9 @@
     /// one yet.
     #[serde(default)]
     pub evacuations: Evacuations,
+    /// Time at which the call was sent, as far as its sender can tell.
+    #[serde(default)]
+    pub sent: Option<SentAt>,
 }
 
 /// Error of a call to another VM.
@@ -204,7 +229,7 @@
     core: &Core<M>,
     to: SocketAddr,
     handover: &Handover,
-) -> Result<(), PeerError> {
+) -> Result<HandoverReply, PeerError> {
     call_peer(core, to, SHARDS, handover, MESSAGE_TIMEOUT).await
 }
 
@@ -278,16 +303,48 @@
     }
 }
 
+/// Decides whether a call that concerns a shard is recent enough to be carried out.
+/// Returns the time at which it was sent, at the earliest.
+///
+/// # Errors
+///
+/// Returns the time of sending for another call of the same VM.
+pub(crate) fn accept_call<M>(
+    core: &Core<M>,
+    from: SocketAddr,
+    shard: &Shard,
+    sent: Option<SentAt>,
+) -> Result<Timestamp, SentAt> {
+    let now = core.now();
+    let mut peers = core.peers();
+    let age = peers.age(sent, now);
+    if let Some(age) = age.filter(|age| *age < MAX_CALL_AGE) {
+        let sent = now.before(age);
+        peers.refresh(from, sent);
+        return Ok(sent);
+    }
+    let clock = peers.clock(now);
+    drop(peers);
+    core.metrics.add(Count::CallLate, 1);
+    let (known, age) = (age.is_some(), age.unwrap_or_default());
+    log::info!(from:% = from, shard:% = shard, age_ms = age.0, known = known;
+        "call not accepted: sent too long ago or at an unknown time");
+    Err(clock)
+}
+
 impl<M: Minions> PeerHandler<M> {
     async fn handle_job(&self, call: JobCall) -> JobReply {
         let Some(owned) = self.0.owned_part(&call.shard) else {
             return JobReply::NotOwner;
         };
-        self.0.peers().refresh(call.from, self.0.now());
+        let sent = match accept_call(&self.0, call.from, &call.shard, call.sent) {
+            Ok(sent) => sent,
+            Err(clock) => return JobReply::Late(clock),
+        };
         crashes::learn(&self.0, &call.crashes);
         let from = Some(call.from);
         match call.action {
-            JobAction::Run(spec) => here::run_local(&self.0, &owned, spec, from).await,
+            JobAction::Run(spec) => here::run_local(&self.0, &owned, spec, from, sent).await,
             JobAction::Resume(id) => here::resume_local(&self.0, &owned, &id, from).await,
         }
     }
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -9,13 +9,13 @@
 use schedule::{JobId, Transfer};
 
 use crate::beats;
-use crate::calls::{Handover, call_handover};
+use crate::calls::{Handover, HandoverReply, accept_call, call_handover};
 use crate::control::Minions;
 use crate::core::{Core, lock};
 use crate::crashes;
 use crate::drive;
 use crate::evacuation::{self, Evacuations};
-use crate::owned::{Owned, TakePolicy, Waiter};
+use crate::owned::{Owned, State, TakePolicy, Waiter};
 
 /// Pause before a shard that no VM could take is offered again.
 const OFFER_PAUSE: Duration = Duration::from_millis(100);
@@ -58,16 +58,23 @@
     let Some((state, origins)) = freeze(core, &owned, now) else {
         return;
     };
-    let handover = Handover {
+    let mut handover = Handover {
         shard: shard.clone(),
         from: core.cfg.peer_addr,
         state,
         origins,
         evacuations: Evacuations::clone(&core.evacuations.load()),
+        sent: core.peers().sent_at(to, now),
     };
     let jobs = handover.state.jobs.len();
-    match call_handover(core, to, &handover).await {
-        Ok(()) => {
+    let mut reply = call_handover(core, to, &handover).await;
+    if let Ok(HandoverReply::Late(clock)) = reply {
+        (handover.state, handover.origins) = export(core, &owned.lock(), core.now());
+        handover.sent = Some(clock);
+        reply = call_handover(core, to, &handover).await;
+    }
+    match reply {
+        Ok(HandoverReply::Accepted) => {
             log::info!(shard:% = shard, owner:% = to, jobs = jobs; "shard handed over");
             core.peers().hand_over(shard, to, core.now());
             beats::give_up(core, shard, Some(to));
@@ -77,8 +84,10 @@
             core.peers().hand_over(shard, to, core.now());
             beats::give_up(core, shard, Some(to));
         }
-        Err(e) => {
-            log::warn!(shard:% = shard, owner:% = to, error:% = e; "handover failed, shard kept");
+        refused => {
+            let late = || "refused as sent too long ago".to_owned();
+            let error = refused.err().map_or_else(late, |e| e.to_string());
+            log::warn!(shard:% = shard, owner:% = to, error:% = error; "handover failed, shard kept");
             if !core.peers().owns(shard) {
                 // Another VM has taken the shard in the meantime.
                 beats::give_up(core, shard, None);
@@ -110,9 +119,14 @@
     }
     state.live = false;
     state.scheduler.freeze(true);
+    Some(export(core, &state, now))
+}
+
+/// Returns the state of a frozen shard for its next owner.
+fn export<M: Minions>(core: &Core<M>, state: &State, now: Timestamp) -> (Transfer, Origins) {
     let from = |w: &Waiter| w.from.unwrap_or(core.cfg.peer_addr);
     let origins = state.waiters.iter().map(|(id, w)| (id.clone(), from(w)));
-    Some((state.scheduler.export(now), origins.collect()))
+    (state.scheduler.export(now), origins.collect())
 }
 
 /// Hands over a shard of this VM that another VM should own. It is one at a time,
@@ -162,32 +176,42 @@
     tokio::spawn(async move { beats::announce(&core).await });
 }
 
-/// Takes over a shard, with its jobs and runs, from its previous owner.
-pub(crate) fn accept<M: Minions>(core: &Arc<Core<M>>, handover: Handover) {
+/// Takes over a shard, with its jobs and runs, from its previous owner. A handover
+/// that arrives late is not accepted: its sender has given the shard up, and the
+/// callers of the jobs have sent them elsewhere.
+pub(crate) fn accept<M: Minions>(core: &Arc<Core<M>>, handover: Handover) -> HandoverReply {
     let Handover {
         shard,
         from,
         state,
         origins,
         evacuations,
+        sent,
     } = handover;
+    let sent = match accept_call(core, from, &shard, sent) {
+        Ok(sent) => sent,
+        Err(clock) => return HandoverReply::Late(clock),
+    };
     evacuation::adopt(core, &evacuations, &from.to_string());
     if core.owned_part(&shard).is_some() {
         log::warn!(shard:% = shard, from:% = from; "handover ignored: shard already owned");
-        return;
+        return HandoverReply::Accepted;
     }
     log::info!(shard:% = shard, from:% = from, jobs = state.jobs.len(); "shard accepted");
     core.peers().accept(&shard);
-    install_transfers(core, &shard, vec![(state, origins)]);
+    install_transfers(core, &shard, vec![(state, origins)], sent);
     let core = core.clone();
     tokio::spawn(async move { beats::announce(&core).await });
+    HandoverReply::Accepted
 }
 
-/// Begins to own a shard with the jobs and minions of its previous owners.
+/// Begins to own a shard with the jobs and minions of its previous owners, which
+/// were `sent` at this time.
 fn install_transfers<M: Minions>(
     core: &Arc<Core<M>>,
     shard: &Shard,
     transfers: Vec<(Transfer, Origins)>,
+    sent: Timestamp,
 ) {
     let now = core.now();
     let owned = Owned::new(shard.clone(), core.cfg.schedule.clone(), TakePolicy::All);
@@ -200,7 +224,7 @@
                 let waiter = Waiter {
                     reply_tx: None,
                     from: Some(origin),
-                    since: now,
+                    since: sent,
                     serial: 0,
                 };
                 locked.waiters.insert(id, waiter);
@@ -226,7 +250,7 @@
     }
     log::info!(shard:% = shard; "shard united");
     let transfers = owned.iter().filter_map(|o| freeze(core, o, now));
-    install_transfers(core, &shard, transfers.collect());
+    install_transfers(core, &shard, transfers.collect(), now);
     for half in &halves {
         beats::give_up(core, half, Some(core.cfg.peer_addr));
     }
--- a/components/engine/src/here.rs
+++ b/components/engine/src/here.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use kernel::Timestamp;
 use schedule::{Admission, JobId, JobSpec, Outcome};
 use tokio::sync::oneshot;
 
@@ -35,12 +36,13 @@
 }
 
 /// Runs a job on a shard of this VM. `from` is the VM that took the job from
-/// its caller, or `None` if this VM did.
+/// its caller, or `None` if this VM did. `sent` is the time at which it sent the call.
 pub(crate) async fn run_local<M: Minions>(
     core: &Arc<Core<M>>,
     owned: &Arc<Owned>,
     spec: JobSpec,
     from: Option<SocketAddr>,
+    sent: Timestamp,
 ) -> JobReply {
     let id = spec.id.clone();
     let now = core.now();
@@ -87,7 +89,7 @@
         let waiter = Waiter {
             reply_tx: Some(reply_tx),
             from,
-            since: now,
+            since: sent,
             serial,
         };
         state.waiters.insert(id.clone(), waiter);
--- a/components/engine/src/owned.rs
+++ b/components/engine/src/owned.rs
@@ -18,7 +18,7 @@
     pub reply_tx: Option<oneshot::Sender<Ending>>,
     /// VM that took the job from its caller; `None` if this VM did.
     pub from: Option<SocketAddr>,
-    /// Time at which the job was submitted or handed over to this VM.
+    /// Time at which the job's call was sent or the job was handed over to this VM.
     pub since: Timestamp,
     /// Distinguishes this submission from earlier ones of the same job.
     pub serial: u64,
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -10,7 +10,7 @@
 use ownership::{Candidate, MAX_OFFERS, Shard, choose, choose_next};
 use schedule::{JobSpec, Load, Outcome};
 
-use crate::calls::{JobAction, JobCall, JobReply, call_job};
+use crate::calls::{JobAction, JobCall, JobReply, PeerError, call_job};
 use crate::control::Minions;
 use crate::core::{Core, lock};
 use crate::crashes;
@@ -293,10 +293,10 @@
     spec: JobSpec,
 ) -> Result<Ending, NotStarted> {
     if let Some(owned) = core.owned(shard) {
-        return match run_local(core, &owned, spec, None).await {
+        return match run_local(core, &owned, spec, None, core.now()).await {
             JobReply::Ended(outcome) => Ok(Ending::Ended(outcome)),
             JobReply::Moved(to) => Ok(Ending::Moved(to)),
-            JobReply::NotOwner => Err(NotStarted),
+            JobReply::NotOwner | JobReply::Late(_) => Err(NotStarted),
             JobReply::Refused { retry, .. } => Ok(Ending::Ended(Outcome::Refused { retry })),
         };
     }
@@ -323,49 +323,77 @@
         JobAction::Run(spec) => spec.id.clone(),
         JobAction::Resume(id) => id.clone(),
     };
-    let call = JobCall {
+    let called = core.now();
+    let mut call = JobCall {
         shard: shard.clone(),
         from: core.cfg.peer_addr,
         action,
         crashes: crashes::of_job(core, &id),
+        sent: core.peers().sent_at(to, called),
     };
-    let called = core.now();
-    let interval = core.cfg.ownership.heartbeat_interval.duration();
-    let answer = call_job(core, to, &call, wait);
-    let mut answer = std::pin::pin!(answer);
-    let reply = loop {
-        tokio::select! {
-            reply = answer.as_mut() => break reply,
-            () = tokio::time::sleep(interval) => {
-                if !core.peers().within_timeout(to, called, core.now()) {
-                    log::warn!(job:% = id, owner:% = to; "job lost: no heartbeat from the owner");
-                    return Ok(Ending::Ended(Outcome::Lost));
-                }
-            }
-        }
-    };
+    let mut reply = call_heard(core, to, &call, called, wait).await;
+    if let Ok(JobReply::Late(clock)) = reply {
+        call.sent = Some(clock);
+        reply = call_heard(core, to, &call, called, wait).await;
+    }
     if matches!(reply, Ok(JobReply::Ended(_) | JobReply::Refused { .. })) {
         core.peers().refresh(to, core.now());
     }
     match reply {
         Ok(JobReply::Ended(outcome)) => Ok(Ending::Ended(outcome)),
         Ok(JobReply::Moved(to)) => Ok(Ending::Moved(to)),
-        Ok(JobReply::NotOwner) => Err(NotStarted),
+        Ok(JobReply::NotOwner | JobReply::Late(_)) => Err(NotStarted),
         Ok(JobReply::Refused { retry, load }) => {
             update_load(core, shard, to, load);
             Ok(Ending::Ended(Outcome::Refused { retry }))
         }
-        Err(e) if e.maybe_done() => {
+        Err(NoReply::Silent) => {
+            log::warn!(job:% = id, owner:% = to; "job lost: no heartbeat from the owner");
+            Ok(Ending::Ended(Outcome::Lost))
+        }
+        Err(NoReply::Failed(e)) if e.maybe_done() => {
             log::warn!(job:% = id, owner:% = to, error:% = e; "job lost: no answer from the owner");
             Ok(Ending::Ended(Outcome::Lost))
         }
-        Err(e) => {
+        Err(NoReply::Failed(e)) => {
             log::warn!(job:% = id, owner:% = to, error:% = e; "owner could not be reached");
             Err(NotStarted)
         }
     }
 }
 
+/// Error of a call to an owner that got no answer.
+enum NoReply {
+    /// The owner's heartbeats have stopped.
+    Silent,
+    /// The call has failed.
+    Failed(PeerError),
+}
+
+/// Calls an owner and waits for the answer while the owner's heartbeats arrive.
+/// They are expected at the shortest interval from `called` on.
+async fn call_heard<M>(
+    core: &Core<M>,
+    to: SocketAddr,
+    call: &JobCall,
+    called: Timestamp,
+    wait: Duration,
+) -> Result<JobReply, NoReply> {
+    let interval = core.cfg.ownership.heartbeat_interval.duration();
+    let answer = call_job(core, to, call, wait);
+    let mut answer = std::pin::pin!(answer);
+    loop {
+        tokio::select! {
+            reply = answer.as_mut() => return reply.map_err(NoReply::Failed),
+            () = tokio::time::sleep(interval) => {
+                if !core.peers().within_timeout(to, called, core.now()) {
+                    return Err(NoReply::Silent);
+                }
+            }
+        }
+    }
+}
+
 /// Waits for a job that its owner has handed over to `to`.
 async fn resume<M: Minions>(
     core: &Arc<Core<M>>,
@@ -396,7 +424,7 @@
         match ending {
             JobReply::Ended(outcome) => return outcome,
             JobReply::Moved(next) => to = next,
-            JobReply::NotOwner => return Outcome::Lost,
+            JobReply::NotOwner | JobReply::Late(_) => return Outcome::Lost,
             // Not an answer to the question for a job that was taken.
             JobReply::Refused { .. } => return Outcome::Lost,
         }
--- a/components/engine/tests/common/mod.rs
+++ b/components/engine/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 #[path = "../../../schedule/tests/common/mod.rs"]
 pub mod model;
+pub mod relayed;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
--- a/components/kernel/src/units.rs
+++ b/components/kernel/src/units.rs
@@ -186,6 +186,11 @@
         Timestamp(self.0.saturating_add(span.micros()))
     }
 
+    /// Returns the time `span` earlier, or zero if the clock started later.
+    pub fn before(self, span: Millis) -> Timestamp {
+        Timestamp(self.0.saturating_sub(span.micros()))
+    }
+
     /// Returns the time elapsed since `earlier`, or zero if `earlier` is later.
     pub fn since(self, earlier: Timestamp) -> Millis {
         Millis(self.0.saturating_sub(earlier.0) / 1000)
--- a/components/metrics/src/name.rs
+++ b/components/metrics/src/name.rs
@@ -72,6 +72,7 @@
         CrashConfirmed, "runs.crashed", "Runs lost with a minion that has restarted since.";
         TaskGivenUp, "tasks.given_up", "Tasks given up because minions crashed under them.";
         RunStopped, "runs.stopped", "Stops sent for runs.";
+        CallLate, "calls.late", "Calls of other VMs that were not accepted because they may have been on their way for too long.";
         HoldMissed, "holds.missed", "Holds that a minion did not answer.";
         MinionFenced, "minions.fenced", "Orders that a minion refused because of their fencing token.";
         ShardTaken, "shards.taken", "Shards that this VM took or accepted.";
--- a/components/ownership/src/heartbeat.rs
+++ b/components/ownership/src/heartbeat.rs
@@ -3,7 +3,7 @@
 use std::cmp::Ordering;
 use std::net::{Ipv4Addr, SocketAddr};
 
-use kernel::{Domain, Epoch, Incarnation, Millis, Offset};
+use kernel::{Domain, Epoch, Incarnation, Millis, Offset, Timestamp};
 use schedule::{CrashRecord, EvidenceReport, Load};
 use serde::{Deserialize, Serialize};
 
@@ -92,4 +92,8 @@
     /// none.
     #[serde(default)]
     pub crashes: Vec<CrashRecord>,
+    /// Time on the sender's clock, from which the receiver tells when its messages
+    /// to the sender were sent; 0 from VMs that don't tell it.
+    #[serde(default)]
+    pub sent: Timestamp,
 }
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod room;
 mod route;
+mod sent;
 mod shard;
 mod token;
 
@@ -26,5 +27,6 @@
 pub use peers::{Change, Owner, Peers};
 pub use room::Room;
 pub use route::{Candidate, MAX_OFFERS, SentWork, choose, choose_next};
+pub use sent::SentAt;
 pub use shard::{Shard, shard_of};
 pub use token::Tokens;
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -11,6 +11,7 @@
 use crate::contested::{LOSS_WINDOW, MinionLosses, Yielded};
 use crate::heartbeat::{Claim, Heartbeat, Report, VmInfo};
 use crate::plan::Planned;
+use crate::sent::ClockReading;
 use crate::shard::Shard;
 
 /// State of another VM.
@@ -31,6 +32,8 @@
     pub(crate) register: Offset,
     /// Longest time until the VM's next heartbeat, as it has announced.
     pub(crate) interval: Millis,
+    /// The VM's clock in its last heartbeat.
+    pub(crate) clock: Option<ClockReading>,
 }
 
 impl Peer {
@@ -164,6 +167,7 @@
                 evacuations: Offset(0),
                 register: Offset(0),
                 interval: self.cfg.idle_interval,
+                clock: None,
             });
             self.fresh.push(addr);
         }
@@ -217,6 +221,10 @@
             evacuations: heartbeat.evacuations,
             register: heartbeat.register,
             interval,
+            clock: (heartbeat.sent > Timestamp(0)).then_some(ClockReading {
+                time: heartbeat.sent,
+                arrived: now,
+            }),
         };
         self.peers.insert(ip, peer);
         // An owner that no longer reports a shard has given it up.
@@ -532,16 +540,16 @@
     }
 
     /// Records a message other than a heartbeat, which also shows that the VM
-    /// is alive.
-    pub fn refresh(&mut self, addr: SocketAddr, now: Timestamp) {
+    /// was alive when it was `sent`.
+    pub fn refresh(&mut self, addr: SocketAddr, sent: Timestamp) {
         if let std::net::IpAddr::V4(ip) = addr.ip() {
-            self.add_address(ip, now);
+            self.add_address(ip, sent);
             if let Some(peer) = self.peers.get_mut(&ip) {
-                peer.last_heartbeat = now;
+                peer.last_heartbeat = peer.last_heartbeat.max(sent);
             }
             let owners = self.owners.values_mut();
             for owner in owners.filter(|o| o.claim.addr == addr) {
-                owner.last_report = now;
+                owner.last_report = owner.last_report.max(sent);
             }
         }
     }
--- a/components/ownership/tests/cold_start.rs
+++ b/components/ownership/tests/cold_start.rs
@@ -203,6 +203,7 @@
             evidence: schedule::EvidenceReport::default(),
             register: Offset(0),
             crashes: Vec::new(),
+            sent: kernel::Timestamp(0),
         }
     }
 
@@ -507,6 +508,7 @@
         evidence: schedule::EvidenceReport::default(),
         register: Offset(0),
         crashes: Vec::new(),
+        sent: kernel::Timestamp(0),
     }
 }
 
--- a/components/ownership/tests/division.rs
+++ b/components/ownership/tests/division.rs
@@ -62,6 +62,7 @@
         evidence: schedule::EvidenceReport::default(),
         register: Offset(0),
         crashes: Vec::new(),
+        sent: kernel::Timestamp(0),
     }
 }
 
--- a/components/ownership/tests/intervals.rs
+++ b/components/ownership/tests/intervals.rs
@@ -88,6 +88,7 @@
         evidence: EvidenceReport::default(),
         register: Offset(0),
         crashes: Vec::new(),
+        sent: kernel::Timestamp(0),
     };
     peers.receive(heartbeat, at(0));
     let lost = Change::OwnerLost(shard, owner.addr);
@@ -117,6 +118,7 @@
         evidence: EvidenceReport::default(),
         register: Offset(0),
         crashes: Vec::new(),
+        sent: kernel::Timestamp(0),
     };
     peers.receive(heard, at(1));
     // The VM that was heard needs no greeting, a known one no second.
--- a/components/ownership/tests/run_times.rs
+++ b/components/ownership/tests/run_times.rs
@@ -58,6 +58,7 @@
         evidence,
         register: kernel::Offset(0),
         crashes: Vec::new(),
+        sent: kernel::Timestamp(0),
     }
 }
 
--- a/components/ownership/tests/takeover.rs
+++ b/components/ownership/tests/takeover.rs
@@ -51,6 +51,7 @@
         evidence: EvidenceReport::default(),
         register: Offset(0),
         crashes: Vec::new(),
+        sent: kernel::Timestamp(0),
     }
 }
 
--- a/components/standins/src/pump.rs
+++ b/components/standins/src/pump.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream};
@@ -35,6 +36,16 @@
         open.map(drop).map_err(|_| io::ErrorKind::BrokenPipe.into())
     }
 
+    /// Returns whether the faults hold bytes back now.
+    fn is_held(&self) -> bool {
+        !self.table.borrow().is_open(&self.link)
+    }
+
+    /// Returns the time of a round trip.
+    fn round_trip(&self) -> Duration {
+        2 * self.table.borrow().hop(&self.link)
+    }
+
     /// Returns the time at which bytes sent now arrive.
     fn arrival(&self) -> Instant {
         Instant::now() + self.table.borrow().hop(&self.link)
@@ -104,10 +115,16 @@
     mut faults: LinkFaults,
     direction: Direction,
 ) -> io::Result<()> {
+    let mut held = false;
     while let Some((at, bytes)) = rx.recv().await {
         tokio::time::sleep_until(at).await;
+        held |= faults.is_held();
         faults.wait_open().await?;
         if bytes.is_empty() {
+            if held {
+                // TCP sends what was held again before it sends the close.
+                tokio::time::sleep(faults.round_trip()).await;
+            }
             return write.shutdown().await;
         }
         if direction == Direction::ToClient && faults.drops_answers() {
