Hand over which runs are being stopped

Cause: a stop is repeated until the run is gone, but a handover did not say which runs are being stopped. The next owner renewed their leases, as runs of a job that it did not have: only runs without a job were stopped and waited for.

Ruled out: late stops of the previous owner, which its lower token makes harmless; leases, which the next owner renews with the minion.

Change: RunTransfer says that a run is being stopped, and import_run takes it over; the next owner's tick repeats the stop under its own token and has_earlier_runs counts it. A run whose job is not in the transfer counts as being stopped, as one from a VM of an earlier version. Its number is recorded, so that the job's next runs get higher ones.

Conclusion: what a scheduler was stopping when it handed over ends under the next one.

--- a/components/schedule/src/transfer.rs
+++ b/components/schedule/src/transfer.rs
@@ -67,6 +67,9 @@
     /// True if the minion is kept for this run.
     #[serde(default)]
     pub alone: bool,
+    /// True if the run is being stopped.
+    #[serde(default)]
+    pub stopping: bool,
 }
 
 /// State of a minion in a handover.
@@ -138,11 +141,18 @@
             state.set_size(minion.size.unwrap_or_default());
             state.seen = minion.seen;
             state.last_renewal = now;
-            state.runs = minion
-                .runs
-                .into_iter()
-                .map(|r| import_run(r, now))
-                .collect();
+            for mut run in minion.runs {
+                // A run outlives its job only while it is being stopped.
+                let orphaned = run
+                    .job
+                    .as_ref()
+                    .is_some_and(|(id, _)| !self.jobs.contains_key(id));
+                run.stopping |= orphaned;
+                if run.stopping {
+                    self.record_run(&run.task, run.number, now);
+                }
+                state.runs.push(import_run(run, now));
+            }
             self.minions.insert(id, state);
         }
         self.learn_report(&from.evidence, now);
@@ -180,6 +190,7 @@
         expected: r.expected,
         typical: Some(r.typical),
         alone: r.alone,
+        stopping: r.stop_sent.is_some(),
     });
     MinionTransfer {
         info: minion.info.clone(),
@@ -190,6 +201,7 @@
 }
 
 fn import_run(run: RunTransfer, now: Timestamp) -> Run {
+    let sent = now.before(run.age);
     Run {
         task: run.task,
         number: run.number,
@@ -198,14 +210,15 @@
         // The first list under the new token confirms or removes the run:
         // orders of the previous owner are no longer carried out after it.
         phase: Phase::Unconfirmed,
-        sent: Timestamp(now.0.saturating_sub(run.age.micros())),
+        sent,
         baseline: run.baseline,
         typical: run.typical.unwrap_or(run.baseline),
         expected: run.expected,
         alone: run.alone,
         confirmed: None,
         start_limit: LeaseTime(0),
-        stop_sent: None,
+        // A tick sends the stop again under the new token.
+        stop_sent: run.stopping.then_some(sent),
         stop_acked: None,
     }
 }
--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use schedule::{
     Action, Fence, Gpus, HoldOrder, HoldResult, JobId, JobSpec, LeaseTime, Listing, Mebibytes,
     MilliCores, MinionInfo, NextHold, Outcome, Resources, RunNumber, ScheduleConfig, Scheduler,
-    StartOrder, StartReply, Step, StopOrder, TaskName,
+    StartOrder, StartReply, Step, StopOrder, TaskName, Transfer,
 };
 use standins::{Fate, LeasedMinion, Work, find_violations};
 
@@ -273,9 +273,15 @@
 
     /// Replaces an owner by a new one that gets its state by handover.
     pub fn hand_over(&mut self, owner: usize) {
+        self.hand_over_changed(owner, |_| {});
+    }
+
+    /// Replaces an owner by a new one that gets its state after a change.
+    pub fn hand_over_changed(&mut self, owner: usize, change: impl FnOnce(&mut Transfer)) {
         let time = self.time();
         self.owners[owner].freeze(true);
-        let state = self.owners[owner].export(time);
+        let mut state = self.owners[owner].export(time);
+        change(&mut state);
         let mut next = Scheduler::new(ScheduleConfig::default());
         next.import(time, state, || self.next_token());
         self.owners[owner] = next;
