End jobs at their owner that their caller's VM no longer lists

Cause: the only cancel between VMs was the close of the call's connection. Where that got lost, each heartbeat of the caller's VM counted as its waiting for all of its jobs.

Ruled out: a keepalive on accepted connections, which notices silence after 4 s; a cancel message, which needs a sender that goes on and remembers.

Change: calls are numbered, and a heartbeat to a VM lists the open calls to it. A listed call has a lease until 500 ms after the list was sent, by the age of the message; a call that the list lacks is cancelled at once, and one that no list names when its lease ends. The scheduler starts no task of a job whose lease or deadline has passed, so that an owner that was suspended starts none before it has looked. Jobs of a handover have 600 ms from its sending. Related paths: a replaced process of a VM, and heartbeats that a suspended owner finds in its socket, no longer keep jobs alive.

Conclusion: nothing has to arrive for a job to end at its owner.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -19,6 +19,7 @@
 use crate::evacuation;
 use crate::first_reads::{pull_register, read_configuration};
 use crate::handover;
+use crate::leases::{self, HANDOVER_LEASE};
 use crate::owned::{Ending, Owned, TakePolicy};
 use crate::startup::Step;
 use crate::timetable::{Timetable, broadcast_interval};
@@ -26,7 +27,7 @@
 
 /// Maximum size of a heartbeat in bytes: a few fragments of one Ethernet frame
 /// each.
-pub(crate) const MAX_HEARTBEAT: usize = 8 << 10;
+pub(crate) const MAX_HEARTBEAT: usize = 16 << 10;
 
 /// Number of addresses of other VMs in a heartbeat to a new VM.
 pub(crate) const MAX_KNOWN: usize = 32;
@@ -34,11 +35,6 @@
 /// Number of addresses of other VMs in a heartbeat to all.
 pub(crate) const REGULAR_KNOWN: usize = 4;
 
-/// Time in milliseconds for which a job that was handed over, or its outcome,
-/// is kept until the VM of its caller asks for it. It counts from the sending of the
-/// handover, which takes up to 450 ms.
-const UNCLAIMED_MS: u64 = 600;
-
 /// Receives heartbeats until the runtime ends.
 pub(crate) async fn receive<M: Minions>(core: Arc<Core<M>>) {
     let mut buffer = vec![0; MAX_HEARTBEAT];
@@ -72,6 +68,9 @@
             log::warn!(from:% = from.addr, error:% = e; "reported run times refused");
         }
         crashes::learn(&core, &heartbeat.crashes);
+        if let Some(calls) = heartbeat.calls.take() {
+            leases::renew(&core, &from, &calls);
+        }
         let changes = core.peers().receive(heartbeat, core.now());
         apply_changes(&core, changes);
         if new && from.addr != core.cfg.peer_addr {
@@ -179,30 +178,15 @@
 /// its scheduler apply timeouts.
 fn tick_shard<M: Minions>(core: &Arc<Core<M>>, owned: &Arc<Owned>, now: Timestamp) {
     evacuation::enforce(core, owned);
-    let orphaned: Vec<_> = {
-        let peers = core.peers();
-        let state = owned.lock();
-        let is_orphan = |w: &crate::owned::Waiter| match (&w.reply_tx, w.from) {
-            (None, _) => now.since(w.since).0 > UNCLAIMED_MS,
-            (Some(_), Some(from)) => !peers.within_timeout(from, w.since, now),
-            (Some(_), None) => false,
-        };
-        let orphaned = state.waiters.iter().filter(|(_, w)| is_orphan(w));
-        orphaned.map(|(id, _)| id.clone()).collect()
-    };
+    leases::cancel_lapsed(core, owned, now);
     {
         let mut state = owned.lock();
-        for id in orphaned {
-            log::warn!(job:% = id, shard:% = owned.shard(); "job cancelled: no heartbeat from the caller's VM");
-            state.waiters.remove(&id);
-            state.scheduler.cancel(&id, now);
-        }
         state
             .scheduler
             .set_link(core.link_delay(), core.cfg.link.is_busy());
         state
             .unclaimed
-            .retain(|_, (_, since)| now.since(*since).0 <= UNCLAIMED_MS);
+            .retain(|_, (_, since)| now.since(*since) <= HANDOVER_LEASE);
         state.scheduler.tick(now);
     }
     drive::run_actions(core, owned);
@@ -349,6 +333,7 @@
         register: core.register_read().end,
         crashes: Vec::new(),
         sent: now,
+        calls: None,
     }
 }
 
--- a/components/engine/src/calls.rs
+++ b/components/engine/src/calls.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use kernel::{Millis, Timestamp};
 use metrics::Count;
-use ownership::{SentAt, Shard};
+use ownership::{CallId, SentAt, Shard};
 use schedule::{CrashRecord, JobId, JobSpec, Load, MinionInfo, Outcome, Transfer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -20,6 +20,7 @@
 use crate::control::Minions;
 use crate::core::Core;
 use crate::evacuation::Evacuations;
+use crate::here::Origin;
 use crate::model::Configuration;
 use crate::{crashes, handover, here, owned};
 
@@ -69,6 +70,9 @@
     /// Time at which the call was sent, as far as its sender can tell.
     #[serde(default)]
     pub sent: Option<SentAt>,
+    /// Id of the call, by which heartbeats of its sender list it.
+    #[serde(default)]
+    pub call: Option<CallId>,
 }
 
 /// An action requested of a shard's owner.
@@ -342,10 +346,14 @@
             Err(clock) => return JobReply::Late(clock),
         };
         crashes::learn(&self.0, &call.crashes);
-        let from = Some(call.from);
+        let origin = Some(Origin {
+            from: call.from,
+            call: call.call,
+            sent,
+        });
         match call.action {
-            JobAction::Run(spec) => here::run_local(&self.0, &owned, spec, from, sent).await,
-            JobAction::Resume(id) => here::resume_local(&self.0, &owned, &id, from).await,
+            JobAction::Run(spec) => here::run_local(&self.0, &owned, spec, origin).await,
+            JobAction::Resume(id) => here::resume_local(&self.0, &owned, &id, origin).await,
         }
     }
 }
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -1,6 +1,5 @@
 //! State shared by the modules of the engine.
 
-use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -15,6 +14,7 @@
 use crate::config::EngineConfig;
 use crate::crashes::Crashes;
 use crate::evacuation::Evacuations;
+use crate::leases::CallTable;
 use crate::model::Configuration;
 use crate::owned::Owned;
 use crate::register::RegisterRead;
@@ -51,8 +51,8 @@
     pub crashes: Mutex<Crashes>,
     /// Generator of fencing tokens.
     pub tokens: Mutex<Tokens>,
-    /// Number of jobs that each other VM runs for this one.
-    pub remote_jobs: Mutex<HashMap<SocketAddr, usize>>,
+    /// Calls to other VMs that run jobs for this one.
+    pub calls: Mutex<CallTable>,
     /// True while all VMs are to get a heartbeat at the next tick, because a
     /// shard of this VM has got room for jobs.
     pub room_found: AtomicBool,
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -122,7 +122,7 @@
             evidence: Mutex::default(),
             crashes: Mutex::default(),
             tokens: Mutex::new(tokens),
-            remote_jobs: Mutex::new(HashMap::default()),
+            calls: Mutex::default(),
             room_found: AtomicBool::new(false),
             startup: Startup::new(),
             sent_work: Mutex::default(),
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -15,6 +15,7 @@
 use crate::crashes;
 use crate::drive;
 use crate::evacuation::{self, Evacuations};
+use crate::leases::HANDOVER_LEASE;
 use crate::owned::{Owned, State, TakePolicy, Waiter};
 
 /// Pause before a shard that no VM could take is offered again.
@@ -221,10 +222,12 @@
         for (state, origins) in transfers {
             locked.scheduler.import(now, state, || tokens.mint());
             for (id, origin) in origins {
+                let lease = sent.after(HANDOVER_LEASE);
+                locked.scheduler.renew_lease(&id, lease);
                 let waiter = Waiter {
                     reply_tx: None,
                     from: Some(origin),
-                    since: sent,
+                    call: None,
                     serial: 0,
                 };
                 locked.waiters.insert(id, waiter);
--- a/components/engine/src/here.rs
+++ b/components/engine/src/here.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use kernel::Timestamp;
+use ownership::CallId;
 use schedule::{Admission, JobId, JobSpec, Outcome};
 use tokio::sync::oneshot;
 
@@ -11,6 +12,7 @@
 use crate::control::Minions;
 use crate::core::Core;
 use crate::drive;
+use crate::leases::JOB_LEASE;
 use crate::owned::{Ending, Owned, Waiter};
 
 /// Cancels a job if its waiter is dropped before the job has ended.
@@ -35,14 +37,31 @@
     }
 }
 
-/// Runs a job on a shard of this VM. `from` is the VM that took the job from
-/// its caller, or `None` if this VM did. `sent` is the time at which it sent the call.
+/// A call by which another VM waits for a job.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Origin {
+    /// The VM that took the job from its caller.
+    pub from: SocketAddr,
+    /// Id of the call; `None` from a VM that lists no calls.
+    pub call: Option<CallId>,
+    /// Time at which the call was sent, at the earliest.
+    pub sent: Timestamp,
+}
+
+impl Origin {
+    /// Returns the time until which the job may run without a heartbeat.
+    fn lease(&self) -> Timestamp {
+        self.sent.after(JOB_LEASE)
+    }
+}
+
+/// Runs a job on a shard of this VM. `origin` is the call of the VM that took the job
+/// from its caller, or `None` if this VM did.
 pub(crate) async fn run_local<M: Minions>(
     core: &Arc<Core<M>>,
     owned: &Arc<Owned>,
     spec: JobSpec,
-    from: Option<SocketAddr>,
-    sent: Timestamp,
+    origin: Option<Origin>,
 ) -> JobReply {
     let id = spec.id.clone();
     let now = core.now();
@@ -86,10 +105,13 @@
             }
             Admission::Taken => {}
         }
+        if let Some(origin) = &origin {
+            state.scheduler.renew_lease(&id, origin.lease());
+        }
         let waiter = Waiter {
             reply_tx: Some(reply_tx),
-            from,
-            since: sent,
+            from: origin.map(|o| o.from),
+            call: origin.and_then(|o| o.call),
             serial,
         };
         state.waiters.insert(id.clone(), waiter);
@@ -103,7 +125,7 @@
     core: &Arc<Core<M>>,
     owned: &Arc<Owned>,
     id: &JobId,
-    from: Option<SocketAddr>,
+    origin: Option<Origin>,
 ) -> JobReply {
     let (reply_tx, reply_rx) = oneshot::channel();
     let serial = {
@@ -117,8 +139,13 @@
             return JobReply::Ended(Outcome::Lost);
         };
         waiter.reply_tx = Some(reply_tx);
-        waiter.from = from;
+        waiter.from = origin.map(|o| o.from);
+        waiter.call = origin.and_then(|o| o.call);
         waiter.serial = serial;
+        match &origin {
+            Some(origin) => state.scheduler.renew_lease(id, origin.lease()),
+            None => state.scheduler.end_lease(id),
+        }
         serial
     };
     wait_local(core, owned, id, serial, reply_rx).await
--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -17,6 +17,7 @@
 mod first_reads;
 mod handover;
 mod here;
+mod leases;
 mod model;
 mod owned;
 mod pages;
--- a/components/engine/src/owned.rs
+++ b/components/engine/src/owned.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use kernel::{HashMap, HashSet, MinionId, Timestamp};
-use ownership::Shard;
+use ownership::{CallId, Shard};
 use schedule::{JobId, Outcome, ScheduleConfig, Scheduler};
 use tokio::sync::oneshot;
 
@@ -18,8 +18,9 @@
     pub reply_tx: Option<oneshot::Sender<Ending>>,
     /// VM that took the job from its caller; `None` if this VM did.
     pub from: Option<SocketAddr>,
-    /// Time at which the job's call was sent or the job was handed over to this VM.
-    pub since: Timestamp,
+    /// Id of that VM's call; `None` if this VM took the job, or until the other one
+    /// asks for a job that was handed over.
+    pub call: Option<CallId>,
     /// Distinguishes this submission from earlier ones of the same job.
     pub serial: u64,
 }
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -16,6 +16,7 @@
 use crate::crashes;
 use crate::first_jobs::{await_minions, latest_begin, shorten_retry};
 use crate::here::{resume_local, run_local};
+use crate::leases::CallGuard;
 use crate::owned::Ending;
 
 /// Time added to a job's remaining timeout when its owner is waited for, as
@@ -37,32 +38,6 @@
     }
 }
 
-/// Counts a job that another VM runs for this one, so that heartbeats are sent
-/// to that VM while the guard exists.
-struct RemoteGuard<'a, M> {
-    core: &'a Core<M>,
-    to: SocketAddr,
-}
-
-impl<'a, M> RemoteGuard<'a, M> {
-    fn new(core: &'a Core<M>, to: SocketAddr) -> RemoteGuard<'a, M> {
-        *lock(&core.remote_jobs).entry(to).or_insert(0) += 1;
-        RemoteGuard { core, to }
-    }
-}
-
-impl<M> Drop for RemoteGuard<'_, M> {
-    fn drop(&mut self) {
-        let mut jobs = lock(&self.core.remote_jobs);
-        if let Some(count) = jobs.get_mut(&self.to) {
-            *count -= 1;
-            if *count == 0 {
-                jobs.remove(&self.to);
-            }
-        }
-    }
-}
-
 /// Counts a job against the free cores in the report of the shard that it was
 /// sent to, until it ends or a later report arrives.
 struct SentGuard<'a, M> {
@@ -293,7 +268,7 @@
     spec: JobSpec,
 ) -> Result<Ending, NotStarted> {
     if let Some(owned) = core.owned(shard) {
-        return match run_local(core, &owned, spec, None, core.now()).await {
+        return match run_local(core, &owned, spec, None).await {
             JobReply::Ended(outcome) => Ok(Ending::Ended(outcome)),
             JobReply::Moved(to) => Ok(Ending::Moved(to)),
             JobReply::NotOwner | JobReply::Late(_) => Err(NotStarted),
@@ -318,7 +293,7 @@
     action: JobAction,
     wait: Duration,
 ) -> Result<Ending, NotStarted> {
-    let _guard = RemoteGuard::new(core, to);
+    let guard = CallGuard::new(core, to);
     let id = match &action {
         JobAction::Run(spec) => spec.id.clone(),
         JobAction::Resume(id) => id.clone(),
@@ -329,6 +304,7 @@
         from: core.cfg.peer_addr,
         action,
         crashes: crashes::of_job(core, &id),
+        call: Some(guard.id()),
         sent: core.peers().sent_at(to, called),
     };
     let mut reply = call_heard(core, to, &call, called, wait).await;
--- a/components/engine/src/timetable.rs
+++ b/components/engine/src/timetable.rs
@@ -12,6 +12,7 @@
 use crate::beats::{MAX_HEARTBEAT, MAX_KNOWN, REGULAR_KNOWN, own_evidence, own_heartbeat, send_to};
 use crate::core::{Core, lock};
 use crate::crashes::Audience;
+use crate::leases::open_calls;
 
 /// Number of heartbeats at the shortest interval that a VM still gets when it no
 /// longer needs them. They announce the longer interval, and some may be lost.
@@ -98,8 +99,14 @@
         heartbeat.crashes = lock(&core.crashes).take_news(Audience::Frequent);
         heartbeat.interval = least;
         heartbeat.known.clear();
-        let wanted: Vec<_> = wanted.into_iter().collect();
-        send_to(core, &heartbeat, &wanted).await;
+        let called = open_calls(core, now);
+        let others = wanted.iter().filter(|ip| !called.contains_key(*ip));
+        let others: Vec<_> = others.copied().collect();
+        send_to(core, &heartbeat, &others).await;
+        for (ip, calls) in called {
+            heartbeat.calls = Some(calls);
+            send_to(core, &heartbeat, &[ip]).await;
+        }
     }
 }
 
@@ -121,7 +128,7 @@
 /// that run jobs for it, those for which it runs jobs, and those that would take
 /// its shards.
 fn wanted_often<M>(core: &Core<M>, heartbeat: &Heartbeat, now: Timestamp) -> HashSet<Ipv4Addr> {
-    let mut wanted: HashSet<_> = remote_owners(core).into_iter().collect();
+    let mut wanted: HashSet<_> = lock(&core.calls).called().collect();
     for owned in core.owned.load().values() {
         let state = owned.lock();
         let callers = state.waiters.values().filter_map(|w| w.from);
@@ -136,13 +143,3 @@
     }
     wanted
 }
-
-/// Returns the VMs that run jobs for this one.
-fn remote_owners<M>(core: &Core<M>) -> Vec<Ipv4Addr> {
-    let jobs = lock(&core.remote_jobs);
-    let ips = jobs.keys().filter_map(|addr| match addr.ip() {
-        IpAddr::V4(ip) => Some(ip),
-        IpAddr::V6(_) => None,
-    });
-    ips.collect()
-}
--- a/components/engine/tests/common/mod.rs
+++ b/components/engine/tests/common/mod.rs
@@ -5,6 +5,8 @@
 
 #[path = "../../../schedule/tests/common/mod.rs"]
 pub mod model;
+
+pub mod domains;
 pub mod relayed;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
--- a/components/ownership/src/heartbeat.rs
+++ b/components/ownership/src/heartbeat.rs
@@ -7,6 +7,7 @@
 use schedule::{CrashRecord, EvidenceReport, Load};
 use serde::{Deserialize, Serialize};
 
+use crate::open_calls::OpenCalls;
 use crate::shard::Shard;
 
 /// Identity and state of a VM.
@@ -96,4 +97,8 @@
     /// to the sender were sent; 0 from VMs that don't tell it.
     #[serde(default)]
     pub sent: Timestamp,
+    /// The calls to the receiver that the sender waits for; `None` for a VM that it
+    /// hasn't called.
+    #[serde(default)]
+    pub calls: Option<OpenCalls>,
 }
--- a/components/ownership/tests/cold_start.rs
+++ b/components/ownership/tests/cold_start.rs
@@ -204,6 +204,7 @@
             register: Offset(0),
             crashes: Vec::new(),
             sent: kernel::Timestamp(0),
+            calls: None,
         }
     }
 
@@ -509,6 +510,7 @@
         register: Offset(0),
         crashes: Vec::new(),
         sent: kernel::Timestamp(0),
+        calls: None,
     }
 }
 
--- a/components/ownership/tests/division.rs
+++ b/components/ownership/tests/division.rs
@@ -63,6 +63,7 @@
         register: Offset(0),
         crashes: Vec::new(),
         sent: kernel::Timestamp(0),
+        calls: None,
     }
 }
 
--- a/components/ownership/tests/intervals.rs
+++ b/components/ownership/tests/intervals.rs
@@ -89,6 +89,7 @@
         register: Offset(0),
         crashes: Vec::new(),
         sent: kernel::Timestamp(0),
+        calls: None,
     };
     peers.receive(heartbeat, at(0));
     let lost = Change::OwnerLost(shard, owner.addr);
@@ -119,6 +120,7 @@
         register: Offset(0),
         crashes: Vec::new(),
         sent: kernel::Timestamp(0),
+        calls: None,
     };
     peers.receive(heard, at(1));
     // The VM that was heard needs no greeting, a known one no second.
--- a/components/ownership/tests/message_age.rs
+++ b/components/ownership/tests/message_age.rs
@@ -34,6 +34,7 @@
         register: Offset(0),
         crashes: Vec::new(),
         sent,
+        calls: None,
     }
 }
 
--- a/components/ownership/tests/run_times.rs
+++ b/components/ownership/tests/run_times.rs
@@ -59,6 +59,7 @@
         register: kernel::Offset(0),
         crashes: Vec::new(),
         sent: kernel::Timestamp(0),
+        calls: None,
     }
 }
 
--- a/components/ownership/tests/takeover.rs
+++ b/components/ownership/tests/takeover.rs
@@ -52,6 +52,7 @@
         register: Offset(0),
         crashes: Vec::new(),
         sent: kernel::Timestamp(0),
+        calls: None,
     }
 }
 
--- a/components/schedule/src/job.rs
+++ b/components/schedule/src/job.rs
@@ -173,6 +173,9 @@
     pub arrived: Timestamp,
     /// Time at which the client stops waiting.
     pub deadline: Timestamp,
+    /// Time from which no task is started any more unless the lease is renewed;
+    /// `None` if the VM of the job's caller is the owner.
+    pub lease: Option<Timestamp>,
     /// Time after which the latency objective is missed.
     pub objective: Timestamp,
     /// Expected duration once all its tasks can start.
@@ -264,6 +267,7 @@
             unfinished: spec.steps.iter().map(|s| s.count).collect(),
             arrived: now,
             deadline: now.after(spec.timeout),
+            lease: None,
             objective,
             expected,
             started: false,
@@ -346,6 +350,16 @@
         }
     }
 
+    /// Returns whether the job's lease has lapsed: its caller may have given it up.
+    pub fn is_lapsed(&self, now: Timestamp) -> bool {
+        self.lease.is_some_and(|until| until <= now)
+    }
+
+    /// Returns whether tasks of the job may still be started.
+    pub fn may_start(&self, now: Timestamp) -> bool {
+        now < self.deadline && !self.is_lapsed(now)
+    }
+
     /// Returns whether any task waits to be started.
     pub fn has_waiting(&self) -> bool {
         self.tasks.iter().any(|t| t.state == TaskState::Waiting)
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -287,6 +287,26 @@
         spec.steps.iter().all(fits)
     }
 
+    /// Lets a job run until `until` at least, as its caller's VM waits for it.
+    pub fn renew_lease(&mut self, id: &JobId, until: Timestamp) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.lease = job.lease.max(Some(until));
+        }
+    }
+
+    /// Lets a job run without a lease, as its caller's VM is the owner.
+    pub fn end_lease(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.lease = None;
+        }
+    }
+
+    /// Returns the jobs whose leases have lapsed.
+    pub fn lapsed_jobs(&self, now: Timestamp) -> Vec<JobId> {
+        let lapsed = self.jobs.values().filter(|j| j.is_lapsed(now));
+        lapsed.map(|j| j.spec.id.clone()).collect()
+    }
+
     /// Ends a job whose caller is gone. Its runs are stopped and no outcome is
     /// reported.
     pub fn cancel(&mut self, id: &JobId, now: Timestamp) {
--- a/components/schedule/src/start.rs
+++ b/components/schedule/src/start.rs
@@ -66,8 +66,9 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            // Wait for the runs of an earlier submission to end.
-            if self.has_earlier_runs(job) {
+            // Wait for the runs of an earlier submission to end. A VM that was
+            // suspended gets here before it has ended the jobs that lapsed meanwhile.
+            if !job.may_start(now) || self.has_earlier_runs(job) {
                 continue;
             }
             let tightness = job.tightness(now);
