Read the register before a VM that did not follow it starts tasks

Cause: only an owner and the two VMs that would follow it read the register. When both were lost at once, a third VM took the shard with the copy of its own start, and noticed up to 400 ms later that it should follow the register.

Ruled out: all VMs following it (66 MB/s of records at 300 VMs and 830 minions, by the store's rates); heartbeats that carry leaving minions (seconds on slow links at that size).

Change: a VM that takes a shard with a register older than 2 s starts nothing until it has read it from the store, which it does at once, or from the VM that has read most of it; 700 ms at most, as the shard must be served while the store is away. The feed reports the end of a read after it has passed the changes on.

Conclusion: whoever takes a shard starts tasks by a register that is 2 s old at most, or the newest that anyone in reach has.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -17,7 +17,7 @@
 use crate::crashes;
 use crate::drive;
 use crate::evacuation;
-use crate::first_reads::{pull_register, read_configuration};
+use crate::first_reads::{await_register, pull_register, read_configuration};
 use crate::handover;
 use crate::leases::{self, HANDOVER_LEASE};
 use crate::owned::{Ending, Owned, TakePolicy};
@@ -237,6 +237,7 @@
     learn_run_times(core, &owned);
     crashes::inform(core, &owned);
     install(core, &owned);
+    await_register(core, &owned);
     drive::sync_register(core, &owned);
     owned
 }
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -9,6 +9,7 @@
 use ownership::{Peers, Reports, SentWork, Shard, Tokens};
 use schedule::MinionInfo;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use wire::{Client, TcpConnect};
 
 use crate::config::EngineConfig;
@@ -41,6 +42,8 @@
     pub register: ArcSwapOption<Vec<MinionInfo>>,
     /// Progress of reading the register.
     pub register_read: Mutex<RegisterRead>,
+    /// Notified when the register must be read now, for a shard that was taken.
+    pub register_needed: Notify,
     /// Shards that this VM owns.
     pub owned: ArcSwap<HashMap<Shard, Arc<Owned>>>,
     /// State of other VMs and of ownership.
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -12,6 +12,7 @@
 use ownership::{Peers, Tokens, VmInfo};
 use schedule::{JobSpec, MinionInfo, Outcome};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use wire::{Client, Server, TcpConnect};
 
 use crate::beats;
@@ -21,7 +22,7 @@
 use crate::core::{Core, lock};
 use crate::drive;
 use crate::evacuation::{self, Evacuations};
-use crate::first_reads::read_first;
+use crate::first_reads::{self, read_first};
 use crate::handover;
 use crate::model::Configuration;
 use crate::register::{RegisterRead, merge};
@@ -117,6 +118,7 @@
             evacuations: ArcSwap::default(),
             register: ArcSwapOption::empty(),
             register_read: Mutex::default(),
+            register_needed: Notify::new(),
             owned: ArcSwap::default(),
             peers: Mutex::new(peers),
             evidence: Mutex::default(),
@@ -171,13 +173,25 @@
     /// Replaces the register of minions.
     pub fn register(&self, minions: Vec<MinionInfo>) {
         self.core.register.store(Some(Arc::new(minions)));
+        lock(&self.core.register_read).current = self.core.now();
         sync_minions(&self.core);
     }
 
-    /// Records that the register in the store was read up to `end`.
+    /// Records that the register in the store was read up to `end` and, if it had
+    /// changed, passed to [`Engine::register`].
     pub fn register_read(&self, end: Offset) {
-        let tried = self.core.now();
-        *lock(&self.core.register_read) = RegisterRead { end, tried };
+        let now = self.core.now();
+        *lock(&self.core.register_read) = RegisterRead {
+            end,
+            tried: now,
+            current: now,
+        };
+        first_reads::end_waits(&self.core);
+    }
+
+    /// Waits until this VM takes a shard and needs the present register for it.
+    pub async fn register_needed(&self) {
+        self.core.register_needed.notified().await;
     }
 
     /// Returns the register of minions.
@@ -294,6 +308,7 @@
     {
         let mut read = lock(&core.register_read);
         read.end = read.end.max(end);
+        read.current = core.now();
     }
     let mut changed = false;
     core.register.rcu(|held| {
@@ -304,6 +319,7 @@
     if changed {
         sync_minions(core);
     }
+    first_reads::end_waits(core);
 }
 
 /// Takes the register of another VM if none has been read from the store.
@@ -313,6 +329,7 @@
         .register
         .compare_and_swap(&None::<Arc<Vec<MinionInfo>>>, Some(fresh));
     if held.is_none() {
+        lock(&core.register_read).current = core.now();
         sync_minions(core);
     }
 }
--- a/components/engine/src/first_reads.rs
+++ b/components/engine/src/first_reads.rs
@@ -1,14 +1,17 @@
 //! Reads the configuration and the register of minions from another VM, for a VM
 //! that has none from the store or can't reach it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use kernel::{Millis, Timestamp};
+use kernel::{Millis, Offset, Timestamp};
 
 use crate::calls::{call_configuration, call_register};
 use crate::control::Minions;
 use crate::core::{Core, lock};
+use crate::drive;
 use crate::engine::{adopt_register, configure, merge_register};
+use crate::owned::Owned;
 
 /// Interval at which a VM without a configuration or register asks another one. A
 /// store that works answers within a tenth of it.
@@ -96,16 +99,58 @@
     };
     lock(&core.register_read).tried = now;
     let core = core.clone();
-    tokio::spawn(async move {
-        match call_register(&core, from).await {
-            Ok(minions) => {
-                let minions = minions.unwrap_or_default();
-                log::debug!(from:% = from, minions = minions.len(); "register merged with that of another VM");
-                merge_register(&core, &minions, end);
-            }
-            Err(e) => {
-                log::info!(from:% = from, error:% = e; "reading the register from another VM failed")
-            }
+    tokio::spawn(async move { merge_from(&core, from, end).await });
+}
+
+/// Merges the register with that of another VM, which has read it up to `end`.
+async fn merge_from<M: Minions>(core: &Arc<Core<M>>, from: SocketAddr, end: Offset) {
+    match call_register(core, from).await {
+        Ok(minions) => {
+            let minions = minions.unwrap_or_default();
+            log::debug!(from:% = from, minions = minions.len(); "register merged with that of another VM");
+            merge_register(core, &minions, end);
         }
-    });
+        Err(e) => {
+            log::info!(from:% = from, error:% = e; "reading the register from another VM failed")
+        }
+    }
+}
+
+/// Age of the register from which a VM that takes a shard reads it before it starts
+/// tasks: the drain time of a leaving minion, after which nothing may be started on
+/// it. VMs that follow the register read it more often.
+const REGISTER_FRESH: Millis = Millis(2_000);
+
+/// Longest time for which the new owner of a shard waits for the register. Neither the
+/// store nor another VM that has read it answers then, and the shard must be served.
+const REGISTER_WAIT: Millis = Millis(700);
+
+/// Has a shard that this VM takes wait for the present register if this VM does not
+/// follow it: a minion may have begun to leave since it was read.
+pub(crate) fn await_register<M: Minions>(core: &Arc<Core<M>>, owned: &Arc<Owned>) {
+    let now = core.now();
+    let age = now.since(core.register_read().current);
+    if age < REGISTER_FRESH {
+        return;
+    }
+    log::info!(shard:% = owned.shard(), age_ms = age.0; "shard taken with an old register, which is read first");
+    owned
+        .lock()
+        .scheduler
+        .await_register(now.after(REGISTER_WAIT));
+    core.register_needed.notify_one();
+    let latest = core.peers().latest_register(core.register_read().end, now);
+    if let Some((from, end)) = latest {
+        let core = core.clone();
+        tokio::spawn(async move { merge_from(&core, from, end).await });
+    }
+}
+
+/// Ends the waits for the register, which is up to date.
+pub(crate) fn end_waits<M: Minions>(core: &Arc<Core<M>>) {
+    let now = core.now();
+    for owned in core.owned.load().values() {
+        owned.lock().scheduler.end_register_wait(now);
+        drive::run_actions(core, owned);
+    }
 }
--- a/components/engine/src/register.rs
+++ b/components/engine/src/register.rs
@@ -12,6 +12,8 @@
     pub end: Offset,
     /// Time of the last read of the store, or try to read from another VM.
     pub tried: Timestamp,
+    /// Time at which the register was last up to date, as far as this VM can tell.
+    pub current: Timestamp,
 }
 
 /// Adds the entries of `other` that are later than those in `minions`, which are
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -85,6 +85,9 @@
     pub(crate) frozen: bool,
     /// True while the shard's domain is being evacuated: nothing is started.
     pub(crate) evacuated: bool,
+    /// Time until which nothing is started, because the register of minions may be
+    /// out of date.
+    pub(crate) register_wait: Option<Timestamp>,
 }
 
 impl Scheduler {
@@ -108,6 +111,7 @@
             actions: Vec::new(),
             frozen: false,
             evacuated: false,
+            register_wait: None,
         }
     }
 
@@ -314,6 +318,19 @@
         self.place(now);
     }
 
+    /// Starts nothing before `until`, unless the register of minions is read sooner:
+    /// a minion of it may have begun to leave, or have shrunk.
+    pub fn await_register(&mut self, until: Timestamp) {
+        self.register_wait = Some(until);
+    }
+
+    /// Ends the wait for the register of minions, if there is one.
+    pub fn end_register_wait(&mut self, now: Timestamp) {
+        if self.register_wait.take().is_some() {
+            self.place(now);
+        }
+    }
+
     /// Suspends or resumes scheduling. While it is suspended, an exported state
     /// stays valid.
     pub fn freeze(&mut self, frozen: bool) {
--- a/components/schedule/src/start.rs
+++ b/components/schedule/src/start.rs
@@ -43,6 +43,9 @@
             self.give_back(now);
             return;
         }
+        if self.register_wait.is_some_and(|until| now < until) {
+            return;
+        }
         let jobs = &self.jobs;
         self.queue
             .sort_by_cached_key(|id| jobs.get(id).map(|j| rank(j, now)));
