Ask the VMs heard last for the register, not one that was just lost

Cause: the new owner asked the VM that had read most of the register. That was the lost owner, which counts as alive for 2.2 s and had read as far as the others; the call ran into its timeout.

Change: a new owner asks the two VMs with a later register that it has heard last.

--- a/components/engine/src/first_reads.rs
+++ b/components/engine/src/first_reads.rs
@@ -125,6 +125,10 @@
 /// store nor another VM that has read it answers then, and the shard must be served.
 const REGISTER_WAIT: Millis = Millis(700);
 
+/// Number of VMs that a new owner asks for the register at once, as one of them may have
+/// been lost with the previous owner.
+const REGISTER_SOURCES: usize = 2;
+
 /// Has a shard that this VM takes wait for the present register if this VM does not
 /// follow it: a minion may have begun to leave since it was read.
 pub(crate) fn await_register<M: Minions>(core: &Arc<Core<M>>, owned: &Arc<Owned>) {
@@ -139,8 +143,9 @@
         .scheduler
         .await_register(now.after(REGISTER_WAIT));
     core.register_needed.notify_one();
-    let latest = core.peers().latest_register(core.register_read().end, now);
-    if let Some((from, end)) = latest {
+    let end = core.register_read().end;
+    let later = core.peers().later_registers(end, now);
+    for (from, end) in later.into_iter().take(REGISTER_SOURCES) {
         let core = core.clone();
         tokio::spawn(async move { merge_from(&core, from, end).await });
     }
--- a/components/ownership/src/peers.rs
+++ b/components/ownership/src/peers.rs
@@ -598,6 +598,20 @@
         latest.info.as_ref().map(|i| (i.addr, latest.register))
     }
 
+    /// Returns the VMs that have read the register beyond `end`, with the offsets, those
+    /// first whose last message is the latest: VMs that were just lost still count as
+    /// alive.
+    pub fn later_registers(&self, end: Offset, now: Timestamp) -> Vec<(SocketAddr, Offset)> {
+        let alive = self.peers.values();
+        let alive = alive.filter(|p| p.register > end && p.is_alive(&self.cfg, now));
+        let mut later: Vec<_> = alive.collect();
+        later.sort_by_key(|p| std::cmp::Reverse(p.last_heartbeat));
+        let later = later.into_iter();
+        later
+            .filter_map(|p| p.info.as_ref().map(|i| (i.addr, p.register)))
+            .collect()
+    }
+
     /// Returns a shard's owner if that is another VM.
     pub fn owner(&self, shard: &Shard) -> Option<&Owner> {
         self.owners.get(shard)
