Leases of jobs for a second, calls up to 800 ms old

Change: a lease lasts 1 s from the sending, which still ends 200 ms before the job may be run elsewhere, and calls are accepted up to 800 ms. So that a handover adds nothing, it passes on what is left of each lease. A refused call is sent again only if the first try took less than the limit. An owner still cancels the jobs of a VM that it has not heard for 450 ms, as before the leases.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -19,7 +19,7 @@
 use crate::evacuation;
 use crate::first_reads::{await_register, pull_register, read_configuration};
 use crate::handover;
-use crate::leases::{self, HANDOVER_LEASE};
+use crate::leases::{self, JOB_LEASE};
 use crate::owned::{Ending, Owned, TakePolicy};
 use crate::startup::Step;
 use crate::timetable::{Timetable, broadcast_interval};
@@ -178,7 +178,7 @@
 /// its scheduler apply timeouts.
 fn tick_shard<M: Minions>(core: &Arc<Core<M>>, owned: &Arc<Owned>, now: Timestamp) {
     evacuation::enforce(core, owned);
-    leases::cancel_lapsed(core, owned, now);
+    leases::cancel_orphaned(core, owned, now);
     {
         let mut state = owned.lock();
         state
@@ -186,7 +186,7 @@
             .set_link(core.link_delay(), core.cfg.link.is_busy());
         state
             .unclaimed
-            .retain(|_, (_, since)| now.since(*since) <= HANDOVER_LEASE);
+            .retain(|_, (_, since)| now.since(*since) <= JOB_LEASE);
         state.scheduler.tick(now);
     }
     drive::run_actions(core, owned);
--- a/components/engine/src/calls.rs
+++ b/components/engine/src/calls.rs
@@ -46,10 +46,9 @@
 /// Time within which a message must have arrived.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Age from which a call between VMs is no longer accepted. A caller gives a job up
-/// once it has not heard the owner for as long, and may run it elsewhere 1.2 s later;
-/// the owner ends the job within as long again without a heartbeat of the caller.
-pub(crate) const MAX_CALL_AGE: Millis = Millis(450);
+/// Age from which a call between VMs is no longer accepted. It is below the lease of
+/// the job that the call may bring.
+pub(crate) const MAX_CALL_AGE: Millis = Millis(800);
 
 /// Size of a call's headers in bytes.
 const HEAD_BYTES: usize = 100;
--- a/components/engine/src/handover.rs
+++ b/components/engine/src/handover.rs
@@ -15,7 +15,7 @@
 use crate::crashes;
 use crate::drive;
 use crate::evacuation::{self, Evacuations};
-use crate::leases::HANDOVER_LEASE;
+use crate::leases::JOB_LEASE;
 use crate::owned::{Owned, State, TakePolicy, Waiter};
 
 /// Pause before a shard that no VM could take is offered again.
@@ -220,14 +220,19 @@
         let mut locked = owned.lock();
         let mut tokens = lock(&core.tokens);
         for (state, origins) in transfers {
+            let leases = state.jobs.iter();
+            let leases = leases.map(|j| (j.spec.id.clone(), j.lease.unwrap_or(JOB_LEASE)));
+            let leases: Vec<_> = leases.collect();
             locked.scheduler.import(now, state, || tokens.mint());
+            for (id, lease) in leases {
+                locked.scheduler.renew_lease(&id, sent.after(lease));
+            }
             for (id, origin) in origins {
-                let lease = sent.after(HANDOVER_LEASE);
-                locked.scheduler.renew_lease(&id, lease);
                 let waiter = Waiter {
                     reply_tx: None,
                     from: Some(origin),
                     call: None,
+                    since: now,
                     serial: 0,
                 };
                 locked.waiters.insert(id, waiter);
--- a/components/engine/src/here.rs
+++ b/components/engine/src/here.rs
@@ -112,6 +112,7 @@
             reply_tx: Some(reply_tx),
             from: origin.map(|o| o.from),
             call: origin.and_then(|o| o.call),
+            since: now,
             serial,
         };
         state.waiters.insert(id.clone(), waiter);
--- a/components/engine/src/leases.rs
+++ b/components/engine/src/leases.rs
@@ -6,23 +6,19 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-use kernel::{HashMap, Millis, Timestamp};
+use kernel::{HashMap, HashSet, Millis, Timestamp};
 use ownership::{CallId, CallNumber, CallState, OpenCalls, VmInfo};
 use schedule::JobId;
 
 use crate::control::Minions;
 use crate::core::{Core, lock};
 use crate::drive;
-use crate::owned::Owned;
+use crate::owned::{Owned, State, Waiter};
 
 /// Time after the sending of a call, or of a heartbeat that lists it, for which its
 /// job may run. A caller's VM runs the job elsewhere 1.2 s after it has given the call
-/// up, and a handover may add 600 ms.
-pub(crate) const JOB_LEASE: Millis = Millis(500);
-
-/// Time after the sending of a handover for which its jobs wait for the VMs of their
-/// callers. The handover may take 450 ms of it.
-pub(crate) const HANDOVER_LEASE: Millis = Millis(600);
+/// up; the rest is for the stops of its runs.
+pub(crate) const JOB_LEASE: Millis = Millis(1_000);
 
 /// The calls to other VMs that this VM waits for.
 #[derive(Debug, Default)]
@@ -104,7 +100,7 @@
         let mut ended = Vec::new();
         {
             let mut state = owned.lock();
-            let crate::owned::State {
+            let State {
                 scheduler, waiters, ..
             } = &mut *state;
             for (id, waiter) in waiters.iter() {
@@ -129,14 +125,26 @@
     }
 }
 
-/// Cancels the jobs of a shard whose leases have lapsed.
-pub(crate) fn cancel_lapsed<M: Minions>(core: &Arc<Core<M>>, owned: &Arc<Owned>, now: Timestamp) {
-    let lapsed = owned.lock().scheduler.lapsed_jobs(now);
-    if !lapsed.is_empty() {
-        for id in &lapsed {
+/// Cancels the jobs of a shard whose leases have lapsed, and those of VMs that have
+/// missed four heartbeats: these mostly have gone, and capacity is short.
+pub(crate) fn cancel_orphaned<M: Minions>(core: &Arc<Core<M>>, owned: &Arc<Owned>, now: Timestamp) {
+    let ended: Vec<_> = {
+        let peers = core.peers();
+        let state = owned.lock();
+        let silent = |w: &Waiter| match (&w.reply_tx, w.from) {
+            (Some(_), Some(from)) => !peers.within_timeout(from, w.since, now),
+            _ => false,
+        };
+        let silent = state.waiters.iter().filter(|(_, w)| silent(w));
+        let mut ended: HashSet<_> = silent.map(|(id, _)| id.clone()).collect();
+        ended.extend(state.scheduler.lapsed_jobs(now));
+        ended.into_iter().collect()
+    };
+    if !ended.is_empty() {
+        for id in &ended {
             log::warn!(job:% = id, shard:% = owned.shard(); "job cancelled: no heartbeat from the caller's VM");
         }
-        cancel(core, owned, lapsed);
+        cancel(core, owned, ended);
     }
 }
 
--- a/components/engine/src/owned.rs
+++ b/components/engine/src/owned.rs
@@ -21,6 +21,8 @@
     /// Id of that VM's call; `None` if this VM took the job, or until the other one
     /// asks for a job that was handed over.
     pub call: Option<CallId>,
+    /// Time at which the job arrived here.
+    pub since: Timestamp,
     /// Distinguishes this submission from earlier ones of the same job.
     pub serial: u64,
 }
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -10,7 +10,7 @@
 use ownership::{Candidate, MAX_OFFERS, Shard, choose, choose_next};
 use schedule::{JobSpec, Load, Outcome};
 
-use crate::calls::{JobAction, JobCall, JobReply, PeerError, call_job};
+use crate::calls::{JobAction, JobCall, JobReply, MAX_CALL_AGE, PeerError, call_job};
 use crate::control::Minions;
 use crate::core::{Core, lock};
 use crate::crashes;
@@ -308,7 +308,11 @@
         sent: core.peers().sent_at(to, called),
     };
     let mut reply = call_heard(core, to, &call, called, wait).await;
-    if let Ok(JobReply::Late(clock)) = reply {
+    // Where calls take as long as that, another one would be late too.
+    let quick = core.now().since(called) < MAX_CALL_AGE;
+    if let Ok(JobReply::Late(clock)) = reply
+        && quick
+    {
         call.sent = Some(clock);
         reply = call_heard(core, to, &call, called, wait).await;
     }
--- a/components/schedule/src/transfer.rs
+++ b/components/schedule/src/transfer.rs
@@ -39,6 +39,10 @@
     pub started: bool,
     /// Tasks of the job, in the order of its steps.
     pub tasks: Vec<TaskTransfer>,
+    /// Time left of the job's lease; `None` for a job of the previous owner's own
+    /// callers.
+    #[serde(default)]
+    pub lease: Option<Millis>,
 }
 
 /// State of a run in a handover.
@@ -176,6 +180,7 @@
         spec,
         started: job.started,
         tasks: tasks.collect(),
+        lease: job.lease.map(|until| until.since(now)),
     }
 }
 
