Wait for closed connections before starting what a stalled VM reads

Cause: a request waits in the socket of a VM that is suspended. Its client closes the connection and sends the job to another domain 1.3 s later. When the VM goes on, it reads the request before the close, starts its tasks, and cancels them some 25 ms later.

Ruled out: calls between VMs, whose age is checked; a shorter stall, after which the client has not sent the job again.

Change: a VM whose periodic work has not run for a second starts what it reads then 50 ms later, within which the close drops it.

--- a/components/engine/src/beats.rs
+++ b/components/engine/src/beats.rs
@@ -101,6 +101,7 @@
     loop {
         ticks.tick().await;
         let now = core.now();
+        core.ticks.record(now);
         let shards = all_shards(&core, now);
         let changes = core.peers().tick(&shards, now);
         let found = core.room_found.swap(false, Ordering::Relaxed);
--- a/components/engine/src/core.rs
+++ b/components/engine/src/core.rs
@@ -19,6 +19,7 @@
 use crate::model::Configuration;
 use crate::owned::Owned;
 use crate::register::RegisterRead;
+use crate::stall::Ticks;
 use crate::startup::Startup;
 
 /// The shared state of one VM.
@@ -63,6 +64,8 @@
     pub startup: Startup,
     /// Jobs sent to shards of other VMs since their last reports.
     pub sent_work: Mutex<SentWork>,
+    /// Times of the periodic work.
+    pub ticks: Ticks,
     /// True once the planned stop of this VM has begun.
     pub stopping: AtomicBool,
 }
--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -26,6 +26,7 @@
 use crate::handover;
 use crate::model::Configuration;
 use crate::register::{RegisterRead, merge};
+use crate::stall::Ticks;
 use crate::startup::{Startup, Step};
 use crate::submit::submit;
 
@@ -128,6 +129,7 @@
             room_found: AtomicBool::new(false),
             startup: Startup::new(),
             sent_work: Mutex::default(),
+            ticks: Ticks::default(),
             stopping: AtomicBool::new(false),
             clock,
             cfg,
--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -22,6 +22,7 @@
 mod owned;
 mod pages;
 mod register;
+mod stall;
 mod startup;
 mod submit;
 mod timetable;
--- a/components/engine/src/submit.rs
+++ b/components/engine/src/submit.rs
@@ -18,6 +18,7 @@
 use crate::here::{resume_local, run_local};
 use crate::leases::CallGuard;
 use crate::owned::Ending;
+use crate::stall::NOTICE_TIME;
 
 /// Time added to a job's remaining timeout when its owner is waited for, as
 /// the owner ends the job at its deadline.
@@ -75,6 +76,11 @@
 pub(crate) async fn submit<M: Minions>(core: &Arc<Core<M>>, spec: JobSpec) -> Outcome {
     let start = core.now();
     core.metrics.add(Count::JobReceived, 1);
+    if core.ticks.after_stall(start) {
+        // The caller may have gone during the stall. If so, its connection's close is
+        // noticed now and drops this future.
+        tokio::time::sleep(NOTICE_TIME.duration()).await;
+    }
     let outcome = run_repeated(core, &spec, start).await;
     core.metrics.add(counter(outcome), 1);
     let took = Duration::from_micros(core.now().micros_since(start));
