--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -26,7 +26,7 @@
 # Interval at which waiting calls look whether they can be answered.
 POLL_S = 0.003
 # Time that a stop takes; the pages allow 50 ms.
-STOP_S = 0.03
+STOP_S = 0.045
 
 
 def now():
@@ -256,6 +256,17 @@
             return 200, await self.hold(order)
         return 404, {}
 
+    async def cut(self, span):
+        """Cuts the minion off for a time, in which it runs on and answers nothing."""
+        self.site.record.note("%s is cut off" % self.name)
+        self.dark = True
+        await asyncio.sleep(span)
+        ip, port = self.addr.split(":")
+        self.drop_connections()
+        self.dark = False
+        self.server = await serve_http(ip, self.handle, int(port), self.connections)
+        self.site.record.note("%s is reached again" % self.name)
+
     def drop_connections(self):
         self.server.close()
         for writer in list(self.connections):
