Take no clock or room from an answer of a former process of a minion

Callers would see: a job that waits until its deadline, as its task's run is never found to be over.

Cause: the answer to a start moves the owner's copy of the minion's clock. If it is of the former process and arrives after the restart was noticed, its clock is far ahead, and the lists of the new process count as older ones: nothing that they lack is found to be over until the new process has run as long as the former one had. An acceptance also counted as one by the new process.

Change: each run knows the process that its start was sent to, as far as it was known then. An answer of another one, or to a run that is settled, changes neither the clock nor the room nor the run, except that a refusal still says that nothing was begun.

Before: with answers of any process taken as before, schedule rebirth (late_answer) fails. After: it passes, with the crate's restarts, at_once, start_again and crashing_task.

--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -215,35 +215,38 @@
         let Some(minion) = self.minions.get_mut(id) else {
             return;
         };
-        match reply {
-            StartReply::Accepted(clock)
-            | StartReply::Old(clock)
-            | StartReply::Late(clock)
-            | StartReply::Full(clock) => minion.update_clock(clock, now),
-            _ => {}
-        }
-        match reply {
-            StartReply::Accepted(clock) => {
-                if let Some(run) = minion.run_mut(task, number) {
-                    run.phase = Phase::Running;
-                    run.confirmed = Some(clock);
-                }
-                return;
+        // A former process may have answered, whose clock and room say nothing.
+        let born = minion.info.born;
+        let run = minion.run_mut(task, number);
+        let current = run.is_some_and(|run| run.born == born);
+        if current {
+            minion.observe_start(reply, now);
+        }
+        match (reply, minion.run_mut(task, number)) {
+            (StartReply::Accepted(clock), Some(run)) if current => {
+                run.phase = Phase::Running;
+                run.confirmed = Some(clock);
             }
-            StartReply::NoAnswer => {
-                if let Some(run) = minion.run_mut(task, number)
-                    && run.phase == Phase::Starting
-                {
-                    run.phase = Phase::Unconfirmed;
-                    self.stop(id, task, number, now);
-                }
-                return;
+            (StartReply::NoAnswer, Some(run)) if run.phase == Phase::Starting => {
+                run.phase = Phase::Unconfirmed;
+                self.stop(id, task, number, now);
             }
-            StartReply::Full(_) => minion.full = true,
-            StartReply::Unhealthy => minion.health.record_failure(),
-            _ => {}
+            (StartReply::Accepted(_) | StartReply::NoAnswer, _) => {}
+            _ => self.start_refused(id, task, number, reply, now),
         }
-        let Some(run) = minion.remove(task, number) else {
+    }
+
+    /// Removes a run that no process of the minion has begun.
+    fn start_refused(
+        &mut self,
+        id: &MinionId,
+        task: &TaskName,
+        number: RunNumber,
+        reply: StartReply,
+        now: Timestamp,
+    ) {
+        let minion = self.minions.get_mut(id);
+        let Some(run) = minion.and_then(|m| m.remove(task, number)) else {
             return;
         };
         match reply {
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -311,6 +311,21 @@
         }
     }
 
+    /// Learns the clock, room and health from the answer to a start.
+    pub fn observe_start(&mut self, reply: StartReply, now: Timestamp) {
+        match reply {
+            StartReply::Accepted(clock) | StartReply::Old(clock) | StartReply::Late(clock) => {
+                self.update_clock(clock, now);
+            }
+            StartReply::Full(clock) => {
+                self.update_clock(clock, now);
+                self.full = true;
+            }
+            StartReply::Unhealthy => self.health.record_failure(),
+            _ => {}
+        }
+    }
+
     /// Returns the free capacity, or zero while the minion has a run of unknown
     /// size.
     pub fn free_capacity(&self) -> Resources {
@@ -410,6 +425,7 @@
             job: None,
             need: None,
             phase: Phase::Running,
+            born: self.info.born,
             sent: now,
             baseline: Millis(0),
             typical: Millis(0),
--- a/components/schedule/src/run.rs
+++ b/components/schedule/src/run.rs
@@ -37,6 +37,9 @@
     pub need: Option<Resources>,
     /// Progress of the run.
     pub phase: Phase,
+    /// Start time of the minion's process to which the start was sent, as far as the
+    /// owner knew then. Answers of another one say nothing about the present process.
+    pub born: u64,
     /// Time at which the start was sent.
     pub sent: Timestamp,
     /// Expected run time on a minion of average speed.
--- a/components/schedule/src/start.rs
+++ b/components/schedule/src/start.rs
@@ -193,6 +193,7 @@
             job: Some((id.clone(), index)),
             need: Some(job.spec.steps[usize::from(task.step)].need),
             phase: Phase::Starting,
+            born: minion.info.born,
             sent: now,
             baseline,
             typical,
--- a/components/schedule/src/transfer.rs
+++ b/components/schedule/src/transfer.rs
@@ -155,7 +155,7 @@
                 if run.stopping {
                     self.record_run(&run.task, run.number, now);
                 }
-                state.runs.push(import_run(run, now));
+                state.runs.push(import_run(run, state.info.born, now));
             }
             self.minions.insert(id, state);
         }
@@ -205,7 +205,7 @@
     }
 }
 
-fn import_run(run: RunTransfer, now: Timestamp) -> Run {
+fn import_run(run: RunTransfer, born: u64, now: Timestamp) -> Run {
     let sent = now.before(run.age);
     Run {
         task: run.task,
@@ -215,6 +215,7 @@
         // The first list under the new token confirms or removes the run:
         // orders of the previous owner are no longer carried out after it.
         phase: Phase::Unconfirmed,
+        born,
         sent,
         baseline: run.baseline,
         typical: run.typical.unwrap_or(run.baseline),
--- a/components/schedule/tests/rebirth.rs
+++ b/components/schedule/tests/rebirth.rs
@@ -176,6 +176,34 @@
     assert_eq!(count_starts(&mut scheduler), 1);
 }
 
+/// Guards against the clock of a former process, by which the lists of the present one
+/// would be taken for old ones as long as it has not run as long.
+#[test]
+fn late_answer() {
+    let (mut scheduler, id) = with_pending_start();
+    let task = TaskName::new(&job(1, 1, 14, 200).id, 0, 0);
+    let mut info = minion("m-00", 32);
+    info.born = 2;
+    scheduler.register(info, Fence(6));
+    for (clock, time) in [(1_020, 25), (1_021, 45)] {
+        let reply = StartReply::Accepted(LeaseTime(clock));
+        scheduler.started(&id, &task, RunNumber(1), reply, at(time));
+        scheduler.listed(&id, Fence(6), empty_list(time, 2), at(time + 5));
+    }
+    assert_eq!(count_starts(&mut scheduler), 1);
+    let second = RunNumber(2);
+    scheduler.started(
+        &id,
+        &task,
+        second,
+        StartReply::Accepted(LeaseTime(60)),
+        at(65),
+    );
+    scheduler.hold(&id, at(66));
+    scheduler.listed(&id, Fence(6), empty_list(70, 2), at(70));
+    assert_eq!(count_starts(&mut scheduler), 1);
+}
+
 #[test]
 fn same_millisecond() {
     // Two lists of the same millisecond of the minion's clock may differ in a
