Let a list end a run only if it was asked for after the run's last answer

Callers saw: nothing plain; a task may run twice at once (TWICE).

Cause: a list of the former process that is still on its way when the new one accepts a start lacks that run and has a higher clock, so the run counted as over and its task was started again. Acknowledged stops were compared in the same way.

Ruled out: telling the processes apart by their clocks, which fails for a process that was young itself.

Change: the owner keeps the time of the last answer about a run and of the last hold. A list that lacks the run ends it only if its hold was sent after that answer.

--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -210,7 +210,7 @@
         StopReply::Accepted(clock) => {
             let mut state = owned.lock();
             let scheduler = &mut state.scheduler;
-            scheduler.stopped(&order.minion, &order.task, order.run, clock);
+            scheduler.stopped(&order.minion, &order.task, order.run, clock, core.now());
         }
         StopReply::Fenced => on_fenced(&core, &owned, &order.minion, order.fence, 0),
         StopReply::NoAnswer => {
--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -50,6 +50,7 @@
         }
         // Renewing the lease of a minion whose answers don't arrive would keep
         // runs alive that nobody can stop.
+        minion.hold_sent = now;
         let renew = minion.hold_state == HoldState::Held;
         let until = renew.then(|| minion.clock_at(now)).flatten();
         if until.is_some() {
@@ -226,6 +227,7 @@
             (StartReply::Accepted(clock), Some(run)) if current => {
                 run.phase = Phase::Running;
                 run.confirmed = Some(clock);
+                run.answered = Some(now);
             }
             (StartReply::NoAnswer, Some(run)) if run.phase == Phase::Starting => {
                 run.phase = Phase::Unconfirmed;
@@ -258,12 +260,20 @@
 
     /// Processes the acknowledgement of a stop. The capacity is free only when
     /// a list shows that the run is gone.
-    pub fn stopped(&mut self, id: &MinionId, task: &TaskName, number: RunNumber, clock: LeaseTime) {
+    pub fn stopped(
+        &mut self,
+        id: &MinionId,
+        task: &TaskName,
+        number: RunNumber,
+        clock: LeaseTime,
+        now: Timestamp,
+    ) {
         let Some(minion) = self.minions.get_mut(id) else {
             return;
         };
         if let Some(run) = minion.run_mut(task, number) {
             run.stop_acked = Some(clock);
+            run.answered = Some(now);
         }
     }
 
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -235,6 +235,8 @@
     /// True from a start refused as [`StartReply::Full`] until the next list:
     /// the minion has less free capacity than computed here.
     pub full: bool,
+    /// Time at which the latest hold was sent.
+    pub hold_sent: Timestamp,
     /// Time at which the newest list arrived.
     pub last_listing: Timestamp,
     /// Number of consecutive unanswered holds.
@@ -270,6 +272,7 @@
             former: None,
             health: Health::default(),
             full: false,
+            hold_sent: Timestamp(0),
             last_listing: Timestamp(0),
             missed_holds: 0,
             last_missed: None,
@@ -401,7 +404,7 @@
                 run.phase = Phase::Running;
                 run.confirmed = run.confirmed.max(Some(list.clock));
                 kept.push(run);
-            } else if run.is_over(list.clock) {
+            } else if run.is_over(list.clock, self.hold_sent) {
                 gone.push(run);
             } else {
                 kept.push(run);
@@ -432,6 +435,7 @@
             expected: Millis(0),
             alone: false,
             confirmed: None,
+            answered: None,
             start_limit: LeaseTime(0),
             stop_sent: None,
             stop_acked: None,
--- a/components/schedule/src/run.rs
+++ b/components/schedule/src/run.rs
@@ -54,6 +54,8 @@
     pub alone: bool,
     /// The minion's clock when it last reported that it has the run.
     pub confirmed: Option<LeaseTime>,
+    /// Time at which the start's or a stop's answer arrived.
+    pub answered: Option<Timestamp>,
     /// The minion's clock after which it no longer carries out the start.
     pub start_limit: LeaseTime,
     /// Time at which the last stop was sent; `None` if the run is not being
@@ -65,8 +67,17 @@
 
 impl Run {
     /// Returns whether the run is over and cannot start any more, given that a
-    /// listing made at the minion's `clock` does not contain it.
-    pub fn is_over(&self, clock: LeaseTime) -> bool {
+    /// listing made at the minion's `clock` does not contain it, as the answer to a
+    /// hold sent at `asked`.
+    ///
+    /// A listing that was asked for before an answer came may be of a process that
+    /// had ended by the time of that answer. One that was asked for later shows that
+    /// its process was alive then, and so that it gave the answer. See
+    /// docs/incidents/list-of-former-process.md.
+    pub fn is_over(&self, clock: LeaseTime, asked: Timestamp) -> bool {
+        if self.phase != Phase::Undecided && self.answered.is_some_and(|at| asked <= at) {
+            return false;
+        }
         if self.stop_acked.is_some_and(|at| clock > at) {
             return true;
         }
--- a/components/schedule/src/start.rs
+++ b/components/schedule/src/start.rs
@@ -200,6 +200,7 @@
             expected,
             alone,
             confirmed: None,
+            answered: None,
             start_limit: lease,
             stop_sent: None,
             stop_acked: None,
--- a/components/schedule/src/transfer.rs
+++ b/components/schedule/src/transfer.rs
@@ -222,6 +222,7 @@
         expected: run.expected,
         alone: run.alone,
         confirmed: None,
+        answered: None,
         start_limit: LeaseTime(0),
         // A tick sends the stop again under the new token.
         stop_sent: run.stopping.then_some(sent),
--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -495,7 +495,7 @@
                 self.perform(owner);
             }
             Message::Stopped(owner, id, task, run, clock) => {
-                self.owners[owner].stopped(&id, &task, run, clock);
+                self.owners[owner].stopped(&id, &task, run, clock, time);
             }
             Message::Fenced(owner, id, refused, held) => {
                 self.token += 1;
--- a/components/schedule/tests/rebirth.rs
+++ b/components/schedule/tests/rebirth.rs
@@ -176,6 +176,23 @@
     assert_eq!(count_starts(&mut scheduler), 1);
 }
 
+/// Guards against a list of the former process that arrives after the new one has
+/// accepted a start: it lacks the run, which goes on.
+#[test]
+fn late_list() {
+    let (mut scheduler, id) = with_pending_start();
+    let task = TaskName::new(&job(1, 1, 14, 200).id, 0, 0);
+    scheduler.hold(&id, at(12));
+    let reply = StartReply::Accepted(LeaseTime(3));
+    scheduler.started(&id, &task, RunNumber(1), reply, at(20));
+    scheduler.listed(&id, Fence(5), empty_list(1_008, 1), at(25));
+    assert_eq!(count_starts(&mut scheduler), 0);
+    // A list that was asked for after the answer is of the process that gave it.
+    scheduler.hold(&id, at(26));
+    scheduler.listed(&id, Fence(5), empty_list(1_016, 1), at(30));
+    assert_eq!(count_starts(&mut scheduler), 1);
+}
+
 /// Guards against the clock of a former process, by which the lists of the present one
 /// would be taken for old ones as long as it has not run as long.
 #[test]
--- a/components/schedule/tests/restarts.rs
+++ b/components/schedule/tests/restarts.rs
@@ -56,3 +56,18 @@
         assert!(completed > 0.8, "seed {seed}: {completed} completed");
     }
 }
+
+/// Guards against an answer of one process that is combined with a late answer of
+/// another: a list of the former process lacks what the new one has accepted, and an
+/// accepted start moves the clock by which lists are told apart.
+#[test]
+fn held_up_messages() {
+    for seed in 0..40 {
+        let mut sim = Simulation::new(seed, 1, &[32; MINIONS as usize]);
+        sim.faults.held_up = 25;
+        play(&mut sim);
+        assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
+        let completed = completed(&sim);
+        assert!(completed > 0.8, "seed {seed}: {completed} completed");
+    }
+}
