Count runs of a process not heard of for the longest lease that minions grant

Callers saw: nothing plain; a task may run on two minions at once (TWICE) if a minion restarts under a start that is on its way and is cut off right after. Shown by a test of the scheduler with a model minion, not seen in a run of processes.

Cause: the lease time of an order is a time on the minion's clock, which starts anew with its process. A new process grants its longest lease (1,000 ms, 1,020 ms on a slow clock) from the arrival of the order, which may have been sent again for 170 ms; the owner counted 940 ms from the first sending.

Tried: the longer time for all runs of a minion with such a run; sound tasks beside a deadly one then waited longer and were blamed, as schedule crashing_task (neighbours_live, hopeless_job) showed.

Change: a run is attributed to the known process by a list, or by a clock in the start's answer that no younger process could show. Only the others wait for the longest lease, counted from when the start was answered or given up. Losses are recorded when the shorter lease has lapsed, as before.

Before: rebirth (longest_lease) fails.

--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -159,8 +159,10 @@
         minion.update_clock(list.clock, now);
         if newest {
             minion.last_listing = now;
+            minion.listing_asked = minion.hold_sent;
         }
         minion.missed_holds = 0;
+        minion.losses_known = false;
         minion.full = false;
         let taken = minion.hold_state != HoldState::Held;
         minion.hold_state = HoldState::Held;
@@ -223,9 +225,14 @@
         if current {
             minion.observe_start(reply, now);
         }
+        let attributed = matches!(reply, StartReply::Accepted(c) if minion.is_attributed(c, now));
+        if let Some(run) = minion.run_mut(task, number) {
+            run.tried_until = now;
+        }
         match (reply, minion.run_mut(task, number)) {
             (StartReply::Accepted(clock), Some(run)) if current => {
                 run.phase = Phase::Running;
+                run.attributed |= attributed;
                 run.confirmed = Some(clock);
                 run.answered = Some(now);
             }
--- a/components/schedule/src/config.rs
+++ b/components/schedule/src/config.rs
@@ -8,6 +8,8 @@
     /// Duration of a minion's lease: it ends its runs when its owner does not
     /// renew the lease for this long. The platform limits the longest lease.
     pub lease: Millis,
+    /// Longest lease that a minion grants, to an order that asks for a longer one.
+    pub max_lease: Millis,
     /// Longest time a hold waits at a minion for a run to end. A fraction of
     /// the lease, so that two holds may be lost before the lease lapses.
     pub hold_wait: Millis,
@@ -52,6 +54,7 @@
     fn default() -> ScheduleConfig {
         ScheduleConfig {
             lease: Millis(800),
+            max_lease: Millis(1_000),
             hold_wait: Millis(200),
             short_wait: Millis(40),
             stop_retry: Millis(80),
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -237,12 +237,17 @@
     pub full: bool,
     /// Time at which the latest hold was sent.
     pub hold_sent: Timestamp,
+    /// Time at which the hold was sent that the newest list answers. The process was
+    /// alive then, so a later one is younger than that.
+    pub listing_asked: Timestamp,
     /// Time at which the newest list arrived.
     pub last_listing: Timestamp,
     /// Number of consecutive unanswered holds.
     pub missed_holds: u32,
     /// Time of the last unanswered hold.
     pub last_missed: Option<Timestamp>,
+    /// True if the runs of the silent minion are recorded as lost.
+    pub losses_known: bool,
     /// Time at which an order that renews the lease was last sent.
     pub last_renewal: Timestamp,
     /// Losses of the minion to other VMs.
@@ -256,6 +261,15 @@
 /// Time added to the lease for the delivery of the order, in milliseconds.
 const LEASE_TRAVEL_MS: f64 = 100.0;
 
+/// Returns whether a lease that was last renewed at `since` has lapsed on the minion's
+/// clock.
+fn has_lapsed(lease: Millis, since: Timestamp, now: Timestamp) -> bool {
+    now.since(since).0 as f64 > lease.0 as f64 * LEASE_MARGIN + LEASE_TRAVEL_MS
+}
+
+/// Age that a process's clock may show at its start, in milliseconds.
+const CLOCK_SLACK_MS: u64 = 100;
+
 impl Minion {
     /// Creates the state of a minion that is still to be held.
     pub fn new(info: MinionInfo, fence: Fence) -> Minion {
@@ -273,9 +287,11 @@
             health: Health::default(),
             full: false,
             hold_sent: Timestamp(0),
+            listing_asked: Timestamp(0),
             last_listing: Timestamp(0),
             missed_holds: 0,
             last_missed: None,
+            losses_known: false,
             last_renewal: Timestamp(0),
             contest: Contest::default(),
         }
@@ -374,11 +390,30 @@
         Some(self.runs.swap_remove(at))
     }
 
-    /// Returns whether the minion has gone without a renewal for so long that
-    /// its lease has lapsed and none of its runs can still execute.
+    /// Returns whether a run whose start was answered at `clock` is shown to be the
+    /// known process's: one that has started since its last list can't be as old.
+    pub fn is_attributed(&self, clock: LeaseTime, now: Timestamp) -> bool {
+        clock.0 > now.since(self.listing_asked).0 + CLOCK_SLACK_MS
+    }
+
+    /// Returns whether the minion has gone without a renewal for so long that its
+    /// lease has lapsed, and none of the runs of its known process can still execute.
     pub fn lease_lapsed(&self, now: Timestamp, cfg: &ScheduleConfig) -> bool {
-        let lease = cfg.lease.0 as f64 * LEASE_MARGIN + LEASE_TRAVEL_MS;
-        self.hold_state != HoldState::Held && now.since(self.last_renewal).0 as f64 > lease
+        self.hold_state != HoldState::Held && has_lapsed(cfg.lease, self.last_renewal, now)
+    }
+
+    /// Returns the runs that can no longer execute, as their leases have lapsed.
+    ///
+    /// A process that the owner has not heard of can't tell that the lease time of an
+    /// order is of its predecessor's clock, and grants its longest lease. See
+    /// docs/incidents/lease-of-new-process.md.
+    pub fn lapsed_runs(&self, now: Timestamp, cfg: &ScheduleConfig) -> impl Iterator<Item = &Run> {
+        let lapsed = self.lease_lapsed(now, cfg);
+        let longest = cfg.max_lease.max(cfg.lease);
+        self.runs.iter().filter(move |run| {
+            let since = self.last_renewal.max(run.tried_until);
+            lapsed && (run.attributed || has_lapsed(longest, since, now))
+        })
     }
 
     /// Returns the minion's present process.
@@ -402,6 +437,7 @@
         for mut run in std::mem::take(&mut self.runs) {
             if listed(&run) {
                 run.phase = Phase::Running;
+                run.attributed = true;
                 run.confirmed = run.confirmed.max(Some(list.clock));
                 kept.push(run);
             } else if run.is_over(list.clock, self.hold_sent) {
@@ -428,6 +464,7 @@
             job: None,
             need: None,
             phase: Phase::Running,
+            attributed: true,
             born: self.info.born,
             sent: now,
             baseline: Millis(0),
@@ -435,6 +472,7 @@
             expected: Millis(0),
             alone: false,
             confirmed: None,
+            tried_until: now,
             answered: None,
             start_limit: LeaseTime(0),
             stop_sent: None,
--- a/components/schedule/src/run.rs
+++ b/components/schedule/src/run.rs
@@ -32,6 +32,9 @@
     /// The job and the task's index in it; `None` for a run started by another
     /// owner.
     pub job: Option<(JobId, usize)>,
+    /// True if it is shown that the minion's known process has the run, and not one
+    /// that the owner has not heard of yet.
+    pub attributed: bool,
     /// Resources that the run uses; `None` (unknown) for a run started by
     /// another owner.
     pub need: Option<Resources>,
@@ -54,6 +57,9 @@
     pub alone: bool,
     /// The minion's clock when it last reported that it has the run.
     pub confirmed: Option<LeaseTime>,
+    /// Time until which the start may have been sent again: when it was answered or
+    /// given up, and before that, when it was ordered.
+    pub tried_until: Timestamp,
     /// Time at which the start's or a stop's answer arrived.
     pub answered: Option<Timestamp>,
     /// The minion's clock after which it no longer carries out the start.
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -429,6 +429,7 @@
         state.runs = std::mem::take(&mut minion.runs);
         for run in &mut state.runs {
             run.phase = Phase::Undecided;
+            run.attributed = false;
             run.stop_acked = None;
         }
         *minion = state;
--- a/components/schedule/src/tick.rs
+++ b/components/schedule/src/tick.rs
@@ -71,23 +71,31 @@
     fn check_runs(&mut self, now: Timestamp) {
         let cfg = self.cfg.clone();
         let mut stops = Vec::new();
-        let mut lapsed_runs = Vec::new();
         let mut hung_runs = Vec::new();
         // The runs of a minion that obeys another owner are not lost.
-        let silent = self.minions.values();
+        let silent = self.minions.values_mut();
         let silent = silent.filter(|m| m.missed_holds >= SILENT_MISSES && !m.runs.is_empty());
-        let silent = silent.filter(|m| m.lease_lapsed(now, &cfg));
-        let silent = silent.map(|m| (m.info.id.clone(), m.process(), m.runs.clone()));
+        let silent = silent.filter(|m| !m.losses_known && m.lease_lapsed(now, &cfg));
+        let silent = silent.map(|m| {
+            m.losses_known = true;
+            (m.info.id.clone(), m.process(), m.runs.clone())
+        });
         for (id, process, lost) in silent.collect::<Vec<_>>() {
             self.record_losses(&id, process, &lost, LossCause::Silent, now);
         }
+        let lapsed = self.minions.values().flat_map(|minion| {
+            let id = &minion.info.id;
+            let runs = minion.lapsed_runs(now, &cfg);
+            runs.map(move |run| (id.clone(), run.task.clone(), run.number))
+        });
+        for (id, task, number) in lapsed.collect::<Vec<_>>() {
+            let minion = self.minions.get_mut(&id);
+            if let Some(run) = minion.and_then(|m| m.remove(&task, number)) {
+                self.requeue(&run);
+            }
+        }
         for minion in self.minions.values_mut() {
-            let lapsed = minion.lease_lapsed(now, &cfg);
             for run in &mut minion.runs {
-                if lapsed {
-                    lapsed_runs.push((minion.info.id.clone(), run.task.clone(), run.number));
-                    continue;
-                }
                 let limit = run.expected.0 as f64 * cfg.hang_factor + cfg.hang_slack.0 as f64;
                 // The run's end may be delayed by a hold whose answer got lost,
                 // so only a list that still contains the run shows that it
@@ -114,15 +122,6 @@
         for (id, task, number) in stops {
             self.stop(&id, &task, number, now);
         }
-        for (id, task, number) in lapsed_runs {
-            let run = self
-                .minions
-                .get_mut(&id)
-                .and_then(|m| m.remove(&task, number));
-            if let Some(run) = run {
-                self.requeue(&run);
-            }
-        }
     }
 
     /// Ejects minions that fail or are slow, up to the configured share.
--- a/components/schedule/src/transfer.rs
+++ b/components/schedule/src/transfer.rs
@@ -215,6 +215,7 @@
         // The first list under the new token confirms or removes the run:
         // orders of the previous owner are no longer carried out after it.
         phase: Phase::Unconfirmed,
+        attributed: false,
         born,
         sent,
         baseline: run.baseline,
@@ -222,6 +223,7 @@
         expected: run.expected,
         alone: run.alone,
         confirmed: None,
+        tried_until: now,
         answered: None,
         start_limit: LeaseTime(0),
         // A tick sends the stop again under the new token.
--- a/components/schedule/tests/rebirth.rs
+++ b/components/schedule/tests/rebirth.rs
@@ -4,11 +4,12 @@
 mod common;
 
 use common::{Simulation, job, minion};
-use kernel::{MinionId, Timestamp};
+use kernel::{Millis, MinionId, Timestamp};
 use schedule::{
-    Action, CrashRecord, End, EndKind, Fence, HoldResult, LeaseTime, Listing, LossState, Outcome,
-    RunNumber, ScheduleConfig, Scheduler, StartReply, TaskName,
+    Action, CrashRecord, End, EndKind, Fence, HoldResult, JobSpec, LeaseTime, Listing, LossState,
+    MilliCores, Outcome, RunNumber, ScheduleConfig, Scheduler, StartReply, TaskName,
 };
+use standins::{Fate, LeasedMinion, Work};
 
 fn at(ms: u64) -> Timestamp {
     Timestamp(ms * 1_000)
@@ -23,13 +24,19 @@
     }
 }
 
-/// Returns a scheduler with one minion, to which a start is on its way.
-fn with_pending_start() -> (Scheduler, MinionId) {
+/// Returns a scheduler that holds one minion.
+fn with_held_minion() -> (Scheduler, MinionId) {
     let mut scheduler = Scheduler::new(ScheduleConfig::default());
     let info = minion("m-00", 32);
     let id = info.id.clone();
     scheduler.register(info, Fence(5));
-    scheduler.listed(&id, Fence(5), empty_list(1_000, 1), at(10));
+    scheduler.listed(&id, Fence(5), empty_list(60_000, 1), at(10));
+    (scheduler, id)
+}
+
+/// Returns a scheduler with one minion, to which a start is on its way.
+fn with_pending_start() -> (Scheduler, MinionId) {
+    let (mut scheduler, id) = with_held_minion();
     scheduler.submit(at(11), job(1, 1, 14, 200));
     assert_eq!(count_starts(&mut scheduler), 1);
     (scheduler, id)
@@ -185,11 +192,11 @@
     scheduler.hold(&id, at(12));
     let reply = StartReply::Accepted(LeaseTime(3));
     scheduler.started(&id, &task, RunNumber(1), reply, at(20));
-    scheduler.listed(&id, Fence(5), empty_list(1_008, 1), at(25));
+    scheduler.listed(&id, Fence(5), empty_list(60_008, 1), at(25));
     assert_eq!(count_starts(&mut scheduler), 0);
     // A list that was asked for after the answer is of the process that gave it.
     scheduler.hold(&id, at(26));
-    scheduler.listed(&id, Fence(5), empty_list(1_016, 1), at(30));
+    scheduler.listed(&id, Fence(5), empty_list(60_016, 1), at(30));
     assert_eq!(count_starts(&mut scheduler), 1);
 }
 
@@ -202,7 +209,7 @@
     let mut info = minion("m-00", 32);
     info.born = 2;
     scheduler.register(info, Fence(6));
-    for (clock, time) in [(1_020, 25), (1_021, 45)] {
+    for (clock, time) in [(60_020, 25), (60_021, 45)] {
         let reply = StartReply::Accepted(LeaseTime(clock));
         scheduler.started(&id, &task, RunNumber(1), reply, at(time));
         scheduler.listed(&id, Fence(6), empty_list(time, 2), at(time + 5));
@@ -221,6 +228,65 @@
     assert_eq!(count_starts(&mut scheduler), 1);
 }
 
+/// Guards against a run that counts as over by a lease of its minion's former process:
+/// the new one accepted the start, whose lease time is far ahead on its own clock, and
+/// granted its longest lease, also if its answer is lost.
+#[test]
+fn longest_lease() {
+    for answered in [true, false] {
+        let running = cut_after_restart(answered);
+        assert_eq!(running, [], "answered: {answered}");
+    }
+}
+
+/// Restarts a minion before a start arrives, cuts it off after that, and returns what it
+/// runs when the task is started elsewhere.
+fn cut_after_restart(answered: bool) -> Vec<(TaskName, RunNumber)> {
+    let (mut scheduler, id) = with_held_minion();
+    let other = minion("m-01", 32);
+    scheduler.register(other.clone(), Fence(7));
+    scheduler.listed(&other.id, Fence(7), empty_list(60_000, 1), at(10));
+    let patient = JobSpec {
+        timeout: Millis(20_000),
+        ..job(1, 1, 14, 9_000)
+    };
+    scheduler.submit(at(11), patient);
+    let Some(Action::Start(order)) = scheduler.take_actions().pop() else {
+        panic!("no start");
+    };
+    let mut minions: Vec<_> = [&id, &other.id].map(|id| minion(id.as_str(), 32)).into();
+    let chosen = minions.iter().position(|m| m.id == order.minion).unwrap();
+    let mut restarted = LeasedMinion::new(minions.remove(chosen));
+    restarted.clock_rate = 0.98;
+    restarted.restart(12);
+    let work = Work {
+        cpu: MilliCores(14_000),
+        span: Millis(9_000),
+        fate: Fate::Succeeds,
+    };
+    // The last of the attempts to send the order arrives.
+    let (sent, heard) = (100, 180);
+    let accepted = restarted.start(&order, work, sent);
+    let reply = match answered {
+        true => accepted,
+        false => StartReply::NoAnswer,
+    };
+    scheduler.started(&order.minion, &order.task, order.run, reply, at(heard));
+    let mut now = heard;
+    while count_starts(&mut scheduler) == 0 {
+        now += 1;
+        restarted.advance(now);
+        if now % 100 == 0 {
+            scheduler.hold_missed(&order.minion, at(now));
+            scheduler.hold(&other.id, at(now));
+            scheduler.listed(&other.id, Fence(7), empty_list(60_000 + now, 1), at(now));
+        }
+        scheduler.tick(at(now));
+        assert!(now < 2_000, "never started again");
+    }
+    restarted.running()
+}
+
 #[test]
 fn same_millisecond() {
     // Two lists of the same millisecond of the minion's clock may differ in a
