Acknowledge no ends to a minion whose last hold was not answered

Callers would see: a task that is done runs a second time, after the first run.

Cause: the numbers of ends start anew with the minion's process, and the hold that finds a new process acknowledges ends by the former one's numbers. The new process forgot its own ends up to that, and the next list lacked runs that had ended as done, which also counted as lost in a crash.

Change: a hold acknowledges ends only if the one before was answered under this token. The minion lists them again otherwise, and known numbers are skipped as before.

Before: schedule rebirth (ends_of_successor) fails. After: it passes, with all tests of schedule and engine.

--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -48,9 +48,9 @@
         if let Some(pause) = minion.contest.pause(now) {
             return Some(NextHold::Pause(pause));
         }
+        minion.hold_sent = now;
         // Renewing the lease of a minion whose answers don't arrive would keep
         // runs alive that nobody can stop.
-        minion.hold_sent = now;
         let renew = minion.hold_state == HoldState::Held;
         let until = renew.then(|| minion.clock_at(now)).flatten();
         if until.is_some() {
@@ -59,7 +59,10 @@
         let recent_miss = minion
             .last_missed
             .is_some_and(|at| now.since(at) < RECENT_MISS);
-        let wait = match (renew && minion.missed_holds == 0, recent_miss) {
+        let answers = renew && minion.missed_holds == 0;
+        // After a miss the process may be another one, which would forget its own ends.
+        let seen = if answers { minion.seen } else { 0 };
+        let wait = match (answers, recent_miss) {
             (false, _) => Millis(0),
             (true, true) => self.cfg.short_wait,
             (true, false) => self.cfg.hold_wait,
@@ -67,7 +70,7 @@
         Some(NextHold::Send(HoldOrder {
             addr: minion.info.addr,
             fence: minion.fence,
-            seen: minion.seen,
+            seen,
             lease: until.map(|clock| clock.after(lease)),
             wait,
         }))
--- a/components/schedule/tests/rebirth.rs
+++ b/components/schedule/tests/rebirth.rs
@@ -7,7 +7,7 @@
 use kernel::{Millis, MinionId, Timestamp};
 use schedule::{
     Action, CrashRecord, End, EndKind, Fence, HoldResult, JobSpec, LeaseTime, Listing, LossState,
-    MilliCores, Outcome, RunNumber, ScheduleConfig, Scheduler, StartReply, TaskName,
+    MilliCores, NextHold, Outcome, RunNumber, ScheduleConfig, Scheduler, StartReply, TaskName,
 };
 use standins::{Fate, LeasedMinion, Work};
 
@@ -228,6 +228,35 @@
     assert_eq!(count_starts(&mut scheduler), 1);
 }
 
+/// Guards against ends that the new process forgets, because a hold acknowledges those
+/// of the former one, which had the same numbers: a task that is done would count as lost.
+#[test]
+fn ends_of_successor() {
+    let (mut scheduler, id) = with_held_minion();
+    let done = |number, task: &TaskName| End {
+        number,
+        task: task.clone(),
+        run: RunNumber(1),
+        kind: EndKind::Done,
+    };
+    let acknowledged = |scheduler: &mut Scheduler, time| match scheduler.hold(&id, at(time)) {
+        Some(NextHold::Send(order)) => order.seen,
+        next => panic!("{next:?}"),
+    };
+    let task = TaskName::new(&job(1, 1, 14, 200).id, 0, 0);
+    let list = Listing {
+        ended: vec![done(57, &task)],
+        ..empty_list(60_010, 1)
+    };
+    scheduler.listed(&id, Fence(5), list, at(20));
+    assert_eq!(acknowledged(&mut scheduler, 21), 57);
+    scheduler.hold_missed(&id, at(22));
+    // The process may be another one now.
+    assert_eq!(acknowledged(&mut scheduler, 23), 0);
+    scheduler.listed(&id, Fence(5), empty_list(60_020, 1), at(30));
+    assert_eq!(acknowledged(&mut scheduler, 31), 57);
+}
+
 /// Guards against a run that counts as over by a lease of its minion's former process:
 /// the new one accepted the start, whose lease time is far ahead on its own clock, and
 /// granted its longest lease, also if its answer is lost.
