Sum the cores of a shard in 64 bits

Callers would see: jobs refused by a shard with room, after another writer has left an entry with a capacity of 2^32 - 1 over that of a living minion (report of other operators). A build with overflow checks panics there.

Cause: the number of tasks that fit on all minions was summed in 32 bits; with a job that asks for no processor time each thousandth of a core counts as one.

Change: the sums have 64 bits.

Before: schedule false_entry (large_capacity) panics: attempt to add with overflow. After: it passes.

--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -270,10 +270,10 @@
         let mut free = 0;
         let mut total = 0;
         for minion in self.minions.values().filter(|m| m.accepts_work(now)) {
-            free += minion.free_capacity().cpu.0 / size;
-            total += minion.info.capacity.cpu.0 / size;
+            free += u64::from(minion.free_capacity().cpu.0 / size);
+            total += u64::from(minion.info.capacity.cpu.0 / size);
         }
-        let cores = |tasks: u32| f64::from(tasks) * f64::from(size) / 1000.0;
+        let cores = |tasks: u64| tasks as f64 * f64::from(size) / 1000.0;
         (cores(free), cores(total))
     }
 
