Let a minion's list refute an entry that says it has started later

Callers would see: less room, and tasks run again elsewhere, after another writer has left one entry with a later start over that of a living minion (report of other operators).

Cause: an entry with a later start counts as a restart. The minion's own entries and lists are of an earlier start then, and the owner ignored them for good.

Ruled out: that this heals by itself. The scheduler goes by the latest start, whatever the register says later.

Change: a list under the present token was made after the entry had been read, so its process is the present one, whatever start it has. The entry it refutes is ignored from then on, and the runs that the list has go on and count as no loss.

--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -16,10 +16,11 @@
     Held,
     /// The minion is held from now on.
     Taken,
-    /// The minion's process has restarted; call [`Scheduler::restarted`].
+    /// The minion's process is another one than known; call
+    /// [`Scheduler::restarted`].
     Restarted,
-    /// The list is from an earlier process or under another token, the minion
-    /// is unknown, or the scheduler is frozen.
+    /// The list is under another token or does not say which process made it, the
+    /// minion is unknown, or the scheduler is frozen.
     Ignored,
 }
 
@@ -124,11 +125,14 @@
         taken
     }
 
-    /// Resets a minion whose process has restarted. It gets no work until the
-    /// register reports its size.
+    /// Resets a minion whose process is another one than known. It gets no work until
+    /// the register reports its size.
     pub fn restarted(&mut self, id: &MinionId, born: u64, fence: Fence) {
         self.reset_minion(id);
         if let Some(minion) = self.minions.get_mut(id) {
+            if born < minion.info.born {
+                minion.refuted = Some(minion.info.born);
+            }
             minion.info.born = born;
             minion.info.sequence = Sequence(0);
             minion.info.draining = true;
@@ -152,10 +156,13 @@
         let Some(minion) = self.minions.get_mut(id) else {
             return HoldResult::Ignored;
         };
-        if list.born < minion.info.born || fence != minion.fence {
+        // A list without the start of its process can't be attributed to one.
+        if fence != minion.fence || list.born == 0 && minion.info.born > 0 {
             return HoldResult::Ignored;
         }
-        if list.born > minion.info.born {
+        // A process that answers under this token is alive after all that the register
+        // has said, so an entry with a later start is false.
+        if list.born != minion.info.born {
             return HoldResult::Restarted;
         }
         let newest = minion.clock.is_none_or(|(clock, _)| list.clock >= clock);
@@ -183,6 +190,7 @@
             true => (minion.reconcile(&list, now), minion.former.take()),
             false => (Vec::new(), None),
         };
+        let former = former.filter(|process| process.born != list.born);
         let foreign = minion.runs.iter();
         let foreign = foreign.filter(|r| r.job.is_none() && r.stop_sent.is_none());
         let foreign: Vec<_> = foreign.map(|r| (r.task.clone(), r.number)).collect();
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -224,6 +224,9 @@
     /// The process that the undecided runs were sent to; `None` if no restart is
     /// waiting for the first list of the new process.
     pub former: Option<Process>,
+    /// Start time of a process that an entry of the register named and a list has
+    /// refuted.
+    pub refuted: Option<u64>,
     /// Failures and speed of the minion.
     pub health: Health,
     /// Largest capacity that the minion has had in this life.
@@ -284,6 +287,7 @@
             seen: 0,
             runs: Vec::new(),
             former: None,
+            refuted: None,
             health: Health::default(),
             full: false,
             hold_sent: Timestamp(0),
--- a/components/schedule/src/scheduler.rs
+++ b/components/schedule/src/scheduler.rs
@@ -131,6 +131,9 @@
     /// true if the minion is new or its process has restarted.
     pub fn register(&mut self, info: MinionInfo, fence: Fence) -> bool {
         if let Some(minion) = self.minions.get_mut(&info.id) {
+            if minion.refuted == Some(info.born) {
+                return false;
+            }
             if info.born <= minion.info.born {
                 // The register may be older than what the minion reported itself,
                 // or than the entry that came with a handover.
@@ -425,6 +428,7 @@
         let mut state = Minion::new(minion.info.clone(), minion.fence);
         state.last_renewal = minion.last_renewal;
         state.contest = minion.contest;
+        state.refuted = minion.refuted;
         state.former = minion.former.or(Some(minion.process()));
         state.runs = std::mem::take(&mut minion.runs);
         for run in &mut state.runs {
--- a/components/schedule/tests/false_entry.rs
+++ b/components/schedule/tests/false_entry.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::{cores, job, minion};
-use kernel::Timestamp;
+use kernel::{MinionId, Timestamp};
 use schedule::{
-    Admission, Fence, LeaseTime, Listing, MilliCores, MinionInfo, Resources, ScheduleConfig,
-    Scheduler,
+    Action, Admission, Fence, HoldResult, LeaseTime, Listing, MilliCores, MinionInfo, Resources,
+    ScheduleConfig, Scheduler, StartOrder,
 };
 
 fn at(ms: u64) -> Timestamp {
@@ -31,6 +31,71 @@
     scheduler
 }
 
+fn starts(scheduler: &mut Scheduler) -> Vec<StartOrder> {
+    let actions = scheduler.take_actions().into_iter();
+    let starts = actions.filter_map(|a| match a {
+        Action::Start(order) => Some(order),
+        _ => None,
+    });
+    starts.collect()
+}
+
+/// Answers the next hold of a minion with a list of its only process.
+fn answer_hold(scheduler: &mut Scheduler, id: &MinionId, fence: Fence, ms: u64) -> HoldResult {
+    scheduler.hold(id, at(ms));
+    scheduler.listed(id, fence, list(ms), at(ms + 2))
+}
+
+/// Guards against a minion that is never used again, after an entry that says it has
+/// started later than it has.
+#[test]
+fn later_start() {
+    for born in [2, 1 << 40, u64::MAX] {
+        let info = minion("m-00", 32);
+        let mut scheduler = holding(&info);
+        let mut odd = info.clone();
+        odd.born = born;
+        assert!(scheduler.register(odd.clone(), Fence(6)));
+        let result = answer_hold(&mut scheduler, &info.id, Fence(6), 1_020);
+        assert_eq!(result, HoldResult::Restarted, "born {born}");
+        scheduler.restarted(&info.id, 1, Fence(7));
+        answer_hold(&mut scheduler, &info.id, Fence(7), 1_030);
+        // The register has the false entry until then.
+        assert!(!scheduler.register(odd, Fence(8)));
+        // The minion's next entry.
+        scheduler.register(info.clone(), Fence(8));
+        scheduler.submit(at(1_040), job(1, 1, 14, 200));
+        assert_eq!(starts(&mut scheduler).len(), 1, "born {born}");
+    }
+}
+
+/// Guards against a task that is started again beside its run, or blamed for a crash,
+/// as an entry says that the run's process has ended.
+#[test]
+fn run_goes_on() {
+    let info = minion("m-00", 32);
+    let mut scheduler = holding(&info);
+    let other = minion("m-01", 32);
+    scheduler.submit(at(11), job(1, 1, 14, 400));
+    let order = starts(&mut scheduler).remove(0);
+    scheduler.register(other.clone(), Fence(9));
+    scheduler.listed(&other.id, Fence(9), list(1_000), at(12));
+    let mut odd = info.clone();
+    odd.born = 1 << 40;
+    scheduler.register(odd, Fence(6));
+    answer_hold(&mut scheduler, &info.id, Fence(6), 1_020);
+    scheduler.restarted(&info.id, 1, Fence(7));
+    let running = Listing {
+        running: vec![(order.task, order.run)],
+        ..list(1_030)
+    };
+    scheduler.listed(&info.id, Fence(7), running, at(50));
+    scheduler.tick(at(60));
+    let actions = scheduler.take_actions();
+    let harmful = |a: &Action| matches!(a, Action::Start(_) | Action::Crash(_) | Action::Lost(_));
+    assert!(!actions.iter().any(harmful), "{actions:?}");
+}
+
 /// Guards against sums of capacities that don't fit into their type: a VM built with
 /// checks ends, another one refuses jobs that it could run.
 #[test]
