--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -113,6 +113,10 @@
     Poison(f64),
     /// A minion has half of its capacity.
     Shrink(usize),
+    /// Another writer leaves an odd entry of this variant over that of a minion, which
+    /// writes its own again with its next heartbeat. Not drawn from seeds, whose plans
+    /// are recorded.
+    OddEntry(usize, usize),
 }
 
 impl Fault {
@@ -143,6 +147,7 @@
             Fault::Evacuate(_) => "evacuate",
             Fault::Poison(_) => "poison",
             Fault::Shrink(_) => "shrink",
+            Fault::OddEntry(..) => "odd_entry",
         }
     }
 
@@ -173,6 +178,7 @@
             | Fault::Burst(_)
             | Fault::Poison(_)
             | Fault::Shrink(_)
+            | Fault::OddEntry(..)
             | Fault::Evacuate(_) => false,
         }
     }
--- a/components/soak/src/site.rs
+++ b/components/soak/src/site.rs
@@ -9,6 +9,7 @@
 use nix::sys::signal::Signal;
 use platform_standin::{
     MinionServer, OrderFaults, QueueRecord, StoreMode, StoreStandin, Topic, configuration, minion,
+    odd_minion,
 };
 use schedule::{MinionInfo, Resources};
 use standins::{Endpoint, Hops, LeasedFleet, Net, Relay};
@@ -187,6 +188,17 @@
         }
     }
 
+    /// Publishes an odd record under a minion's id.
+    fn publish_odd(&mut self, i: usize, variant: usize) {
+        self.sequence += 1;
+        let id = &self.ids[i];
+        let info = self.fleet.infos().into_iter().find(|m| m.id == *id);
+        if let Some(info) = info {
+            let record = odd_minion(&info, self.sequence, variant);
+            self.store.put(Topic::Register, id.as_str(), &record);
+        }
+    }
+
     /// Returns the incarnation of a VM's process, counted from 1.
     pub fn incarnation(&self, vm: usize) -> u32 {
         self.vms[vm].process.starts()
@@ -274,6 +286,7 @@
             Fault::Burst(_) | Fault::Poison(_) => {}
             Fault::Shrink(i) => self.resize(i, |cpu| cpu / 2),
             Fault::Evacuate(i) => self.evacuate(i),
+            Fault::OddEntry(i, variant) => self.publish_odd(i, variant),
         }
         Ok(())
     }
