Wait for the starts of the previous owner before a list ends its runs

Callers saw: nothing plain; a task may run twice at once (TWICE) after a handover.

Cause: the next owner's first list showed a run of the previous owner to be over, as its token keeps earlier orders from being carried out. It does so for the process that answered. A process that starts after that has seen no token and accepts the start that is still on its way.

Change: a list ends a run that came with a handover only if it was asked for 250 ms after the start was ordered; the previous owner has given it up by then. The time of the last answer about a run and of its last sending are one field now.

--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -238,14 +238,13 @@
         }
         let attributed = matches!(reply, StartReply::Accepted(c) if minion.is_attributed(c, now));
         if let Some(run) = minion.run_mut(task, number) {
-            run.tried_until = now;
+            run.last_contact = now;
         }
         match (reply, minion.run_mut(task, number)) {
             (StartReply::Accepted(clock), Some(run)) if current => {
                 run.phase = Phase::Running;
                 run.attributed |= attributed;
                 run.confirmed = Some(clock);
-                run.answered = Some(now);
             }
             (StartReply::NoAnswer, Some(run)) if run.phase == Phase::Starting => {
                 run.phase = Phase::Unconfirmed;
@@ -291,7 +290,7 @@
         };
         if let Some(run) = minion.run_mut(task, number) {
             run.stop_acked = Some(clock);
-            run.answered = Some(now);
+            run.last_contact = now;
         }
     }
 
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -415,7 +415,7 @@
         let lapsed = self.lease_lapsed(now, cfg);
         let longest = cfg.max_lease.max(cfg.lease);
         self.runs.iter().filter(move |run| {
-            let since = self.last_renewal.max(run.tried_until);
+            let since = self.last_renewal.max(run.last_contact);
             lapsed && (run.attributed || has_lapsed(longest, since, now))
         })
     }
@@ -476,8 +476,7 @@
             expected: Millis(0),
             alone: false,
             confirmed: None,
-            tried_until: now,
-            answered: None,
+            last_contact: now,
             start_limit: LeaseTime(0),
             stop_sent: None,
             stop_acked: None,
--- a/components/schedule/src/run.rs
+++ b/components/schedule/src/run.rs
@@ -57,11 +57,10 @@
     pub alone: bool,
     /// The minion's clock when it last reported that it has the run.
     pub confirmed: Option<LeaseTime>,
-    /// Time until which the start may have been sent again: when it was answered or
-    /// given up, and before that, when it was ordered.
-    pub tried_until: Timestamp,
-    /// Time at which the start's or a stop's answer arrived.
-    pub answered: Option<Timestamp>,
+    /// Latest time at which the minion may have carried out an order for the run, as
+    /// far as is known: when the start was ordered, and then answered or given up, or
+    /// when a stop was answered.
+    pub last_contact: Timestamp,
     /// The minion's clock after which it no longer carries out the start.
     pub start_limit: LeaseTime,
     /// Time at which the last stop was sent; `None` if the run is not being
@@ -81,7 +80,7 @@
     /// its process was alive then, and so that it gave the answer. See
     /// docs/incidents/list-of-former-process.md.
     pub fn is_over(&self, clock: LeaseTime, asked: Timestamp) -> bool {
-        if self.phase != Phase::Undecided && self.answered.is_some_and(|at| asked <= at) {
+        if self.phase != Phase::Undecided && asked <= self.last_contact {
             return false;
         }
         if self.stop_acked.is_some_and(|at| clock > at) {
--- a/components/schedule/src/transfer.rs
+++ b/components/schedule/src/transfer.rs
@@ -205,6 +205,10 @@
     }
 }
 
+/// Time after its order by which an owner has given a start up. See
+/// docs/incidents/start-after-handover.md.
+const START_TIME: Millis = Millis(250);
+
 fn import_run(run: RunTransfer, born: u64, now: Timestamp) -> Run {
     let sent = now.before(run.age);
     Run {
@@ -212,8 +216,9 @@
         number: run.number,
         job: run.job,
         need: run.need,
-        // The first list under the new token confirms or removes the run:
-        // orders of the previous owner are no longer carried out after it.
+        // A list under the new token confirms or removes the run: orders of the
+        // previous owner are no longer carried out after it. A process that starts
+        // anew knows no token, so while the start may be on its way no list counts.
         phase: Phase::Unconfirmed,
         attributed: false,
         born,
@@ -223,8 +228,7 @@
         expected: run.expected,
         alone: run.alone,
         confirmed: None,
-        tried_until: now,
-        answered: None,
+        last_contact: sent.after(START_TIME),
         start_limit: LeaseTime(0),
         // A tick sends the stop again under the new token.
         stop_sent: run.stopping.then_some(sent),
--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -304,6 +304,21 @@
         self.owners[owner] = next;
     }
 
+    /// Hands the state of an owner over to a further one, which begins to hold its
+    /// minions, and returns that one. Answers to the former one no longer count.
+    pub fn pass_on(&mut self, owner: usize) -> usize {
+        let time = self.time();
+        self.owners[owner].freeze(true);
+        let state = self.owners[owner].export(time);
+        let mut next = Scheduler::new(ScheduleConfig::default());
+        next.import(time, state, || self.next_token());
+        self.owners.push(next);
+        self.paused.push(false);
+        let next = self.owners.len() - 1;
+        self.hold_all(next);
+        next
+    }
+
     /// Begins to hold all minions that an owner knows.
     pub fn hold_all(&mut self, owner: usize) {
         for id in self.owners[owner].minion_ids() {
--- a/components/schedule/tests/restarts.rs
+++ b/components/schedule/tests/restarts.rs
@@ -15,13 +15,18 @@
 /// Longest time for which a crashed minion is down, in milliseconds.
 const LONGEST_PAUSE: u64 = 30;
 
-/// Submits short jobs for a second while minions crash, and lets all end.
-fn play(sim: &mut Simulation) {
+/// Submits short jobs for a second while minions crash, and lets all end. The shard is
+/// handed over after each `jobs` jobs.
+fn play_owners(sim: &mut Simulation, jobs: u64) {
     sim.faults.closed_ports = true;
     sim.run(20);
     let ids: Vec<MinionId> = sim.minions.keys().cloned().collect();
+    let mut owner = 0;
     for number in 0..150 {
-        sim.submit(0, job(number, 1, 14, 60), 60);
+        if number % jobs == jobs - 1 {
+            owner = sim.pass_on(owner);
+        }
+        sim.submit(owner, job(number, 1, 14, 60), 60);
         for _ in 0..7 {
             if sim.chance(CRASHES) {
                 let id = &ids[sim.pick(MINIONS) as usize];
@@ -38,6 +43,10 @@
     sim.run(2_000);
 }
 
+fn play(sim: &mut Simulation) {
+    play_owners(sim, u64::MAX);
+}
+
 /// Returns the share of the jobs taken that were completed.
 fn completed(sim: &Simulation) -> f64 {
     let completed = sim.outcomes.iter().filter(|o| o.2 == Outcome::Completed);
@@ -71,3 +80,17 @@
         assert!(completed > 0.8, "seed {seed}: {completed} completed");
     }
 }
+
+/// Guards against runs that the next owner of a shard takes for those of the wrong
+/// process, as their minion restarts around the handover.
+#[test]
+fn handed_over() {
+    for seed in 0..40 {
+        let mut sim = Simulation::new(seed, 1, &[32; MINIONS as usize]);
+        sim.faults.held_up = 15;
+        play_owners(&mut sim, 12);
+        assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
+        let completed = completed(&sim);
+        assert!(completed > 0.5, "seed {seed}: {completed} completed");
+    }
+}
