Keep a stopped run while its start is still being sent

Callers would see: a job that is sent again runs beside its first submission (TWICE), if the minion restarts within the 170 ms for which a start is sent again. Found by reading; not seen in a run of processes.

Cause: a list that is later than an acknowledged stop ended the run. The stop is known to the process that acknowledged it; a start that is sent again may reach the next one.

Change: a run whose start has no outcome yet is not ended by a stop. It has one after 170 ms at most.

Before: schedule rebirth (stop_before_start) fails.

--- a/components/schedule/src/run.rs
+++ b/components/schedule/src/run.rs
@@ -83,7 +83,9 @@
         if self.phase != Phase::Undecided && asked <= self.last_contact {
             return false;
         }
-        if self.stop_acked.is_some_and(|at| clock > at) {
+        // A start that is still being sent may reach a process that knows of no stop.
+        let stopped = self.stop_acked.is_some_and(|at| clock > at);
+        if stopped && self.phase != Phase::Starting {
             return true;
         }
         match self.phase {
--- a/components/schedule/tests/rebirth.rs
+++ b/components/schedule/tests/rebirth.rs
@@ -316,6 +316,24 @@
     restarted.running()
 }
 
+/// Guards against a job that is sent again while a start of its first submission is still
+/// being sent: the stop is known to the process that acknowledged it, not to the next.
+#[test]
+fn stop_before_start() {
+    let (mut scheduler, id) = with_pending_start();
+    let task = TaskName::new(&job(1, 1, 14, 200).id, 0, 0);
+    scheduler.cancel(&job(1, 1, 14, 200).id, at(12));
+    scheduler.stopped(&id, &task, RunNumber(1), LeaseTime(60_004), at(14));
+    scheduler.hold(&id, at(15));
+    scheduler.listed(&id, Fence(5), empty_list(60_007, 1), at(17));
+    scheduler.submit(at(18), job(1, 1, 14, 200));
+    assert_eq!(count_starts(&mut scheduler), 0);
+    scheduler.started(&id, &task, RunNumber(1), StartReply::NoAnswer, at(180));
+    scheduler.hold(&id, at(181));
+    scheduler.listed(&id, Fence(5), empty_list(60_173, 1), at(183));
+    assert_eq!(count_starts(&mut scheduler), 1);
+}
+
 #[test]
 fn same_millisecond() {
     // Two lists of the same millisecond of the minion's clock may differ in a
