--- a/components/engine/src/drive.rs
+++ b/components/engine/src/drive.rs
@@ -116,7 +116,7 @@
 type Endings = Vec<(tokio::sync::oneshot::Sender<Ending>, Ending)>;
 
 /// Adds the ending of a job to `endings` if somebody waits for it, and keeps
-/// its outcome if it was handed over and nobody has asked for it yet.
+/// its outcome if it was handed over and has not been claimed yet.
 fn settle_waiter<M>(
     state: &mut State,
     id: &JobId,
--- a/components/schedule/src/answers.rs
+++ b/components/schedule/src/answers.rs
@@ -51,7 +51,7 @@
         }
         minion.hold_sent = now;
         // Renewing the lease of a minion whose answers don't arrive would keep
-        // runs alive that nobody can stop.
+        // runs alive that can't be stopped.
         let renew = minion.hold_state == HoldState::Held;
         let until = renew.then(|| minion.clock_at(now)).flatten();
         if until.is_some() {
@@ -60,10 +60,10 @@
         let recent_miss = minion
             .last_missed
             .is_some_and(|at| now.since(at) < RECENT_MISS);
-        let answers = renew && minion.missed_holds == 0;
-        // After a miss the process may be another one, which would forget its own ends.
-        let seen = if answers { minion.seen } else { 0 };
-        let wait = match (answers, recent_miss) {
+        let responsive = renew && minion.missed_holds == 0;
+        // After a miss the process may be another one, which would drop its own ends.
+        let seen = if responsive { minion.seen } else { 0 };
+        let wait = match (responsive, recent_miss) {
             (false, _) => Millis(0),
             (true, true) => self.cfg.short_wait,
             (true, false) => self.cfg.hold_wait,
@@ -160,8 +160,8 @@
         if fence != minion.fence || list.born == 0 && minion.info.born > 0 {
             return HoldResult::Ignored;
         }
-        // A process that answers under this token is alive after all that the register
-        // has said, so an entry with a later start is false.
+        // The token is newer than the entry, so the process that answers under it was
+        // alive after the entry was read. An entry with a later start is false.
         if list.born != minion.info.born {
             return HoldResult::Restarted;
         }
--- a/components/schedule/src/minion.rs
+++ b/components/schedule/src/minion.rs
@@ -229,7 +229,7 @@
     pub refuted: Option<u64>,
     /// Failures and speed of the minion.
     pub health: Health,
-    /// Largest capacity that the minion has had in this life.
+    /// Largest capacity of the minion since its process started.
     pub size: Resources,
     /// Kind of the minion, by its label and size.
     pub kind: MinionKind,
@@ -309,7 +309,7 @@
         self.set_size(self.info.capacity);
     }
 
-    /// Records a capacity that the minion has had in this life.
+    /// Records a capacity that the minion has had since its process started.
     pub fn set_size(&mut self, size: Resources) {
         self.size = self.size.max(&size);
         let kind = MinionKind::of(&self.info.kind, &self.size);
@@ -408,8 +408,8 @@
 
     /// Returns the runs that can no longer execute, as their leases have lapsed.
     ///
-    /// A process that the owner has not heard of can't tell that the lease time of an
-    /// order is of its predecessor's clock, and grants its longest lease. See
+    /// A process unknown to the owner takes the lease time of an order, which is on its
+    /// predecessor's clock, for one on its own, and grants its longest lease. See
     /// docs/incidents/lease-of-new-process.md.
     pub fn lapsed_runs(&self, now: Timestamp, cfg: &ScheduleConfig) -> impl Iterator<Item = &Run> {
         let lapsed = self.lease_lapsed(now, cfg);
--- a/components/schedule/src/run.rs
+++ b/components/schedule/src/run.rs
@@ -18,7 +18,7 @@
     Unconfirmed,
     /// The minion's process has ended since the start was sent. The run may have
     /// ended with it, or the next process may have accepted the start; only a list
-    /// of that one under a new token tells.
+    /// of that one under a new token decides.
     Undecided,
 }
 
@@ -32,8 +32,8 @@
     /// The job and the task's index in it; `None` for a run started by another
     /// owner.
     pub job: Option<(JobId, usize)>,
-    /// True if it is shown that the minion's known process has the run, and not one
-    /// that the owner has not heard of yet.
+    /// True if it is proved that the minion's known process has the run, and not a
+    /// later one that is still unknown to the owner.
     pub attributed: bool,
     /// Resources that the run uses; `None` (unknown) for a run started by
     /// another owner.
--- a/components/schedule/tests/restarts.rs
+++ b/components/schedule/tests/restarts.rs
@@ -43,6 +43,7 @@
     sim.run(2_000);
 }
 
+/// Plays crashes under one owner.
 fn play(sim: &mut Simulation) {
     play_owners(sim, u64::MAX);
 }
@@ -66,9 +67,8 @@
     }
 }
 
-/// Guards against an answer of one process that is combined with a late answer of
-/// another: a list of the former process lacks what the new one has accepted, and an
-/// accepted start moves the clock by which lists are told apart.
+/// Guards against a late list of the former process, which lacks what the new one has
+/// accepted.
 #[test]
 fn held_up_messages() {
     for seed in 0..40 {
