Test blame after a false entry; a false address in KNOWN-RED

run_goes_on passed before the change that it names: its only run was listed, so nothing could be blamed. It has a second task now, whose start got lost. Without the filter of the former process it fails; with it, it passes.

other_address shows what the refutation does not reach: a false entry that also names another address is never refuted. It fails each time, is ignored and listed with its trace.

--- a/components/schedule/tests/false_entry.rs
+++ b/components/schedule/tests/false_entry.rs
@@ -5,8 +5,8 @@
 use common::{cores, job, minion};
 use kernel::{MinionId, Timestamp};
 use schedule::{
-    Action, Admission, Fence, HoldResult, LeaseTime, Listing, MilliCores, MinionInfo, Resources,
-    ScheduleConfig, Scheduler, StartOrder,
+    Action, Admission, Fence, HoldResult, LeaseTime, Listing, MilliCores, MinionInfo, NextHold,
+    Resources, ScheduleConfig, Scheduler, StartOrder,
 };
 
 fn at(ms: u64) -> Timestamp {
@@ -69,15 +69,16 @@
     }
 }
 
-/// Guards against a task that is started again beside its run, or blamed for a crash,
-/// as an entry says that the run's process has ended.
+/// Guards against a task that is started again beside its run, and against blame on one
+/// whose start got lost, as an entry says that their process has ended.
 #[test]
 fn run_goes_on() {
     let info = minion("m-00", 32);
     let mut scheduler = holding(&info);
     let other = minion("m-01", 32);
-    scheduler.submit(at(11), job(1, 1, 14, 400));
-    let order = starts(&mut scheduler).remove(0);
+    scheduler.submit(at(11), job(1, 2, 14, 400));
+    let mut orders = starts(&mut scheduler);
+    let (lost, order) = (orders.remove(0), orders.remove(0));
     scheduler.register(other.clone(), Fence(9));
     scheduler.listed(&other.id, Fence(9), list(1_000), at(12));
     let mut odd = info.clone();
@@ -92,8 +93,38 @@
     scheduler.listed(&info.id, Fence(7), running, at(50));
     scheduler.tick(at(60));
     let actions = scheduler.take_actions();
-    let harmful = |a: &Action| matches!(a, Action::Start(_) | Action::Crash(_) | Action::Lost(_));
-    assert!(!actions.iter().any(harmful), "{actions:?}");
+    let blames = |a: &Action| matches!(a, Action::Crash(_) | Action::Lost(_));
+    assert!(!actions.iter().any(blames), "{actions:?}");
+    let again = actions.iter().filter_map(|a| match a {
+        Action::Start(order) => Some(&order.task),
+        _ => None,
+    });
+    assert_eq!(again.collect::<Vec<_>>(), [&lost.task]);
+}
+
+/// Guards against a minion that is never used again, after an entry that says it has
+/// started later and is elsewhere: no list can refute that.
+#[test]
+#[ignore = "KNOWN-RED: the minion is held at the false address, and its own entries are ignored"]
+fn other_address() {
+    let info = minion("m-00", 32);
+    let mut scheduler = holding(&info);
+    let odd = MinionInfo {
+        born: 2,
+        addr: "127.0.0.1:2".parse().unwrap(),
+        ..info.clone()
+    };
+    scheduler.register(odd, Fence(6));
+    for ms in 1_020..1_023 {
+        scheduler.hold(&info.id, at(ms));
+        scheduler.hold_missed(&info.id, at(ms));
+    }
+    // The minion's next entry.
+    scheduler.register(info.clone(), Fence(7));
+    let Some(NextHold::Send(order)) = scheduler.hold(&info.id, at(1_030)) else {
+        panic!("no hold");
+    };
+    assert_eq!(order.addr, info.addr);
 }
 
 /// Guards against sums of capacities that don't fit into their type: a VM built with
