--- a/components/schedule/tests/common/mod.rs
+++ b/components/schedule/tests/common/mod.rs
@@ -295,23 +295,24 @@
 
     /// Replaces an owner by a new one that gets its state after a change.
     pub fn hand_over_changed(&mut self, owner: usize, change: impl FnOnce(&mut Transfer)) {
+        self.owners[owner] = self.successor(owner, change);
+    }
+
+    /// Freezes an owner and returns one with its state after a change.
+    fn successor(&mut self, owner: usize, change: impl FnOnce(&mut Transfer)) -> Scheduler {
         let time = self.time();
         self.owners[owner].freeze(true);
         let mut state = self.owners[owner].export(time);
         change(&mut state);
         let mut next = Scheduler::new(ScheduleConfig::default());
         next.import(time, state, || self.next_token());
-        self.owners[owner] = next;
+        next
     }
 
     /// Hands the state of an owner over to a further one, which begins to hold its
     /// minions, and returns that one. Answers to the former one no longer count.
     pub fn pass_on(&mut self, owner: usize) -> usize {
-        let time = self.time();
-        self.owners[owner].freeze(true);
-        let state = self.owners[owner].export(time);
-        let mut next = Scheduler::new(ScheduleConfig::default());
-        next.import(time, state, || self.next_token());
+        let next = self.successor(owner, |_| {});
         self.owners.push(next);
         self.paused.push(false);
         let next = self.owners.len() - 1;
--- a/components/soak/src/site.rs
+++ b/components/soak/src/site.rs
@@ -179,22 +179,17 @@
     }
 
     fn publish_minion(&mut self, i: usize) {
-        self.sequence += 1;
-        let id = &self.ids[i];
-        let info = self.fleet.infos().into_iter().find(|m| m.id == *id);
-        if let Some(info) = info {
-            let record = minion(&info, self.sequence);
-            self.store.put(Topic::Register, id.as_str(), &record);
-        }
+        self.publish(i, minion);
     }
 
-    /// Publishes an odd record under a minion's id.
-    fn publish_odd(&mut self, i: usize, variant: usize) {
+    /// Publishes a record under a minion's id, written from its entry and the next
+    /// sequence number.
+    fn publish(&mut self, i: usize, write: impl Fn(&MinionInfo, u64) -> Vec<u8>) {
         self.sequence += 1;
         let id = &self.ids[i];
         let info = self.fleet.infos().into_iter().find(|m| m.id == *id);
         if let Some(info) = info {
-            let record = odd_minion(&info, self.sequence, variant);
+            let record = write(&info, self.sequence);
             self.store.put(Topic::Register, id.as_str(), &record);
         }
     }
@@ -286,7 +281,9 @@
             Fault::Burst(_) | Fault::Poison(_) => {}
             Fault::Shrink(i) => self.resize(i, |cpu| cpu / 2),
             Fault::Evacuate(i) => self.evacuate(i),
-            Fault::OddEntry(i, variant) => self.publish_odd(i, variant),
+            Fault::OddEntry(i, variant) => {
+                self.publish(i, |info, sequence| odd_minion(info, sequence, variant));
+            }
         }
         Ok(())
     }
