--- a/components/soak/src/process.rs
+++ b/components/soak/src/process.rs
@@ -65,13 +65,18 @@
         Ok(())
     }
 
+    /// Returns the id of the process, or `None` if its end has been noticed.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
     /// Sends a signal. Does nothing if the process has ended.
     ///
     /// # Errors
     ///
     /// Fails when the system doesn't allow the signal.
     pub fn signal(&self, signal: Signal) -> Result<(), SoakError> {
-        let Some(id) = self.child.as_ref().and_then(Child::id) else {
+        let Some(id) = self.id() else {
             return Ok(());
         };
         kill(Pid::from_raw(id as i32), signal).map_err(SoakError::Signal)
--- a/components/soak/src/site.rs
+++ b/components/soak/src/site.rs
@@ -8,8 +8,8 @@
 use kernel::{Domain, Gpus, Mebibytes, MilliCores, Millis, MinionId, Sequence, Service};
 use nix::sys::signal::Signal;
 use platform_standin::{
-    MinionServer, OrderFaults, QueueRecord, StoreMode, StoreStandin, Topic, configuration, minion,
-    odd_minion,
+    MinionServer, OrderFaults, QueueRecord, StoreMode, StoreStandin, Topic, VmLimits,
+    configuration, minion, odd_minion,
 };
 use schedule::{MinionInfo, Resources};
 use standins::{Endpoint, Hops, LeasedFleet, Net, Relay};
@@ -93,6 +93,20 @@
     /// Fails when an address can't be bound, a file can't be written or the
     /// program can't be started.
     pub async fn start(shape: Shape, program: &Path, folder: &Path) -> Result<Site, SoakError> {
+        Site::start_limited(shape, VmLimits::default(), program, folder).await
+    }
+
+    /// Starts a site like [`Site::start`], whose VMs have these limits.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Site::start`].
+    pub async fn start_limited(
+        shape: Shape,
+        limits: VmLimits,
+        program: &Path,
+        folder: &Path,
+    ) -> Result<Site, SoakError> {
         let number = SITES.fetch_add(1, Ordering::Relaxed);
         let names = (0..shape.domains).map(|i| format!("d{i}").parse());
         let domains: Result<Vec<Domain>, _> = names.collect();
@@ -129,6 +143,7 @@
                 store: &site.store,
                 servers: &site.servers,
                 domains: &site.domains,
+                limits,
             };
             let vm = Vm::open(vm, &addrs, &env, program, folder).await?;
             site.vms.push(vm);
--- a/components/soak/src/vm.rs
+++ b/components/soak/src/vm.rs
@@ -7,7 +7,7 @@
 
 use kernel::{Domain, HashMap};
 use nix::sys::signal::Signal;
-use platform_standin::{MinionServer, StoreEndpoint, StoreStandin, VmRecord, settings};
+use platform_standin::{MinionServer, StoreEndpoint, StoreStandin, VmLimits, VmRecord, settings};
 use standins::{DatagramRelay, Endpoint, Net, Relay};
 
 use crate::error::SoakError;
@@ -107,6 +107,7 @@
     pub store: &'a StoreStandin,
     pub servers: &'a [MinionServer],
     pub domains: &'a [Domain],
+    pub limits: VmLimits,
 }
 
 /// A VM with its relays.
@@ -173,6 +174,7 @@
             heartbeat_port: addrs.heartbeat_port,
             seeds: all.iter().take(SEEDS).map(VmAddrs::peer_addr).collect(),
             store,
+            limits: env.limits,
         };
         let path = folder.join(format!("{}.conf", addrs.name));
         let written = fs::write(&path, settings(&record));
@@ -192,6 +194,11 @@
         })
     }
 
+    /// Returns the id of the running process.
+    pub fn process_id(&self) -> Option<u32> {
+        self.process.id()
+    }
+
     /// Kills the process. It is not restarted before `until`.
     pub(crate) async fn kill(&mut self, until: Instant) {
         self.process.kill().await;
