Half of the memory for clients, and body buffers that grow in larger steps

Cause: buffers that double from 4 to 256 KiB leave gaps in the heap that no later one fits, and the share of the connections left the VM's own state and the listen queue too little.

Change: a body's buffer has 16, 64 or 256 KiB, or its announced length; the connections' share is 3/8, so that clients have half in all.

--- a/components/wire/src/body.rs
+++ b/components/wire/src/body.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::memory::{MemoryBudget, Reservation};
+use crate::memory::{COVERED_BYTES, MemoryBudget, Reservation};
 
 /// Why a body could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,9 +41,6 @@
 /// that the sender can still read the response that refuses it.
 const DISCARD_LIMIT: usize = 64 << 20;
 
-/// Capacity of the first buffer for a body that arrives in several parts.
-const FIRST_CAPACITY: usize = 4 << 10;
-
 /// Reads a whole body.
 ///
 /// # Errors
@@ -143,7 +140,11 @@
         }
         let needed = whole.len() + part.len();
         if needed > whole.capacity() {
-            let capacity = needed.next_power_of_two().max(FIRST_CAPACITY).min(max);
+            let longest = body
+                .size_hint()
+                .upper()
+                .map_or(max, |rest| needed.saturating_add(rest as usize).min(max));
+            let capacity = next_capacity(needed).min(longest);
             memory.resize(capacity).map_err(|_| BodyError::NoMemory)?;
             whole.reserve_exact(capacity - whole.len());
         }
@@ -175,6 +176,16 @@
     }
 }
 
+/// Returns the capacity of a buffer that must hold `needed` bytes. Large steps leave fewer
+/// gaps in the heap than doubling does.
+fn next_capacity(needed: usize) -> usize {
+    let mut capacity = COVERED_BYTES;
+    while capacity < needed {
+        capacity *= 4;
+    }
+    capacity
+}
+
 /// Reads and drops the rest of a body, up to [`DISCARD_LIMIT`] bytes.
 async fn discard<B>(mut body: B)
 where
--- a/components/wire/src/memory.rs
+++ b/components/wire/src/memory.rs
@@ -14,7 +14,8 @@
 /// this size are read without the budget that all connections share.
 pub const COVERED_BYTES: usize = 16 << 10;
 
-/// Parts of a process's memory that its clients may use. The rest is the process's own.
+/// Parts of a process's memory that its clients may use, half of it in all. The rest is the
+/// process's own.
 /// docs/CAPACITY.md has the arithmetic.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemoryShares {
@@ -29,7 +30,7 @@
     pub fn of(memory: Mebibytes) -> MemoryShares {
         let bytes = (memory.0 as usize) << 20;
         MemoryShares {
-            connections: bytes / 16 * 7 / CONNECTION_MEMORY,
+            connections: bytes / 8 * 3 / CONNECTION_MEMORY,
             requests: bytes / 8,
         }
     }
