--- a/components/engine/src/engine.rs
+++ b/components/engine/src/engine.rs
@@ -289,6 +289,11 @@
         self.core.metrics.clone()
     }
 
+    /// Returns the engine's clock.
+    pub(crate) fn clock(&self) -> &BootClock {
+        &self.core.clock
+    }
+
     /// Returns the record of the steps of this VM's start.
     pub fn startup(&self) -> &Startup {
         &self.core.startup
--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -6,6 +6,7 @@
 mod backoff;
 mod beats;
 mod calls;
+mod clients;
 mod config;
 mod control;
 mod core;
@@ -29,6 +30,7 @@
 mod traffic;
 
 pub use crate::backoff::Backoff;
+pub use crate::clients::report_clients;
 pub use crate::config::EngineConfig;
 pub use crate::control::{HoldReply, Minions, StopReply};
 pub use crate::engine::{Engine, StartError};
--- a/components/entry/src/gauges.rs
+++ b/components/entry/src/gauges.rs
@@ -65,6 +65,8 @@
         | Gauge::ShardsUneven
         | Gauge::SpeedContrast
         | Gauge::CrashRecords
+        | Gauge::ClientConnections
+        | Gauge::ClientMemory
         | Gauge::HeartbeatAge => 0,
     };
     value as u64
--- a/components/metrics/src/name.rs
+++ b/components/metrics/src/name.rs
@@ -60,6 +60,8 @@
         MinionBytes, "minions.bytes", "Bytes of orders to minions.";
         MinionBytesIn, "minions.bytes_in", "Bytes of minions' answers.";
         MinionOpened, "minions.opened", "Connections opened to minions.";
+        ClientRefused, "clients.refused", "Requests refused because the memory for requests was spent.";
+        ClientClosed, "clients.closed", "Connections that waited for their client and were closed for new ones.";
         HoldSent, "holds.sent", "Holds sent to minions.";
         EvidenceRefused, "peers.run_times_refused", "Reports of run times from other VMs refused as not plausible.";
         DigestSent, "peers.digests", "Digests sent to peers of the domain.";
@@ -110,6 +112,8 @@
         DomainsEvacuated, "domains.evacuated", "Failure domains that are being evacuated, as far as this VM knows.";
         EvacuationOffset, "evacuations.offset", "The offset of the operator's topic up to which this VM knows the evacuations.";
         KeptBytes, "jobs.kept_bytes", "Bytes of answers kept for resubmissions.";
+        ClientMemory, "clients.memory", "Bytes of the memory for requests that are reserved.";
+        ClientConnections, "clients.connections", "Open connections of clients.";
         HeartbeatAge, "peers.heartbeat_age", "Milliseconds since the oldest report of a known owner.";
         TeamsAtQuota, "teams.at_quota", "Teams whose jobs hold all slots of their quota.";
     }
--- a/components/wire/src/body.rs
+++ b/components/wire/src/body.rs
@@ -89,7 +89,10 @@
         let mut memory = memory.unwrap_or_else(Reservation::unlimited);
         let bytes = read_within(self.body, max, timeout, &mut memory).await?;
         self.activity.set_answering(true);
-        Ok(HeldBody { bytes, memory })
+        Ok(HeldBody {
+            bytes,
+            _memory: memory,
+        })
     }
 }
 
@@ -97,14 +100,7 @@
 #[derive(Debug)]
 pub struct HeldBody {
     bytes: Bytes,
-    memory: Reservation,
-}
-
-impl HeldBody {
-    /// Drops the body and returns its reservation, for what was decoded from it.
-    pub fn into_reservation(self) -> Reservation {
-        self.memory
-    }
+    _memory: Reservation,
 }
 
 impl Deref for HeldBody {
--- a/components/wire/src/connections.rs
+++ b/components/wire/src/connections.rs
@@ -99,6 +99,16 @@
         }
     }
 
+    /// Returns the number of open connections.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Returns how many connections were closed for new ones.
+    pub fn closed(&self) -> u64 {
+        self.closed.load(Ordering::Relaxed)
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<u64, Arc<Activity>>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -21,4 +21,4 @@
     DEADLINE_HEADER, INCARNATION_HEADER, JOB_HEADER, SERVICE_HEADER, STARTED_HEADER, TASK_HEADER,
     TASK_PATH,
 };
-pub use server::{Handler, Server, ServerLimits, Stopper};
+pub use server::{Handler, Server, ServerLimits, ServerUsage, Stopper};
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -78,6 +78,24 @@
     }
 }
 
+/// Figures of a server's connections.
+#[derive(Debug, Clone)]
+pub struct ServerUsage {
+    connections: Arc<Connections>,
+}
+
+impl ServerUsage {
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Returns how often a connection that waited for its client was closed for a new one.
+    pub fn closed(&self) -> u64 {
+        self.connections.closed()
+    }
+}
+
 /// A server that is bound to an address but does not accept connections until
 /// [`Server::serve`] is called.
 #[derive(Debug)]
@@ -141,6 +159,13 @@
         }
     }
 
+    /// Returns a handle with the figures of the server's connections.
+    pub fn usage(&self) -> ServerUsage {
+        ServerUsage {
+            connections: self.connections.clone(),
+        }
+    }
+
     /// Serves until stopped, then until every connection has ended.
     pub async fn serve<H: Handler>(self, handler: H) {
         let permits = Arc::new(Semaphore::new(self.limits.connections));
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -116,6 +116,30 @@
     scenario.assert_sound().await;
 }
 
+/// Returns a request with a job of many tasks, which is decoded to far more than its bytes.
+/// No minion has room for them at once.
+fn wide_job(number: u64) -> Vec<u8> {
+    let work = Work::new(4, Millis(1_000));
+    let body = format!(
+        "{{\"spec\":\"{work}\",\"preemptible\":true,\
+         \"phases\":[{{\"count\":2000,\"cpu\":4000,\"mem-mb\":64,\"estimated-ms\":1}}]}}"
+    );
+    let mut request = head(number, &format!("Content-Length: {}", body.len()));
+    request.extend_from_slice(body.as_bytes());
+    request
+}
+
+/// Jobs that wait or run count with what they were decoded to.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn wide_jobs() {
+    let mut scenario = Scenario::start("wide_jobs").await;
+    let crowd = Crowd::send(scenario.front(), CROWD, &Script::once(wide_job, vec![])).await;
+    // The jobs are cancelled and leave the minions to others.
+    drop(crowd);
+    scenario.await_service().await;
+    scenario.assert_sound().await;
+}
+
 /// Clients that are closed send again at once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn sent_again() {
