Bound the bodies that a VM with its own settings file receives

The same crowds can press on entry: its callers' bodies of up to 4 MiB were read by the same function, and their sum had no bound.

Change: [jobs] body_memory (256 MiB) bounds all bodies beyond 16 KiB a connection. The reservation stays while the job runs, as its payloads take the place of the body. A submission that finds the budget spent is answered failed, ran no, overloaded, with the time to come back. The status names the reserved bytes.

--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -8,11 +8,11 @@
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use jobs::{JobSpec, Outcome, Reason};
-use kernel::{JobKey, Ticket};
+use kernel::{JobKey, Millis, Ticket};
 use metrics::Count;
 use routing::Policy;
 use serde::Serialize;
-use wire::{BodyError, Connect, Handler, RequestBody};
+use wire::{BodyError, Connect, Handler, RequestBody, Reservation};
 
 use crate::api::{self, BadRequest};
 use crate::core::{Core, Stage};
@@ -29,6 +29,10 @@
 /// Maximum number of tickets minted by one request.
 const MAX_TICKETS: u64 = 1000;
 
+/// Delay after which a caller should retry whose body found the memory spent. Bodies that
+/// others send are given up within seconds.
+const MEMORY_RETRY: Millis = Millis(1_000);
+
 /// Serves the requests of callers.
 pub struct CallerServer<C: Connect, P: Policy> {
     /// Shared state of the VM.
@@ -75,9 +79,14 @@
     }
 
     async fn submit(&self, req: Request<RequestBody>) -> Response<Full<Bytes>> {
-        let spec = match self.read_job(req).await {
-            Ok(spec) => spec,
-            Err(bad) => return self.refuse(&bad),
+        // The job's payloads take the place of its body.
+        let (spec, _memory) = match self.read_job(req).await {
+            Ok(read) => read,
+            Err(ReadError::Bad(bad)) => return self.refuse(&bad),
+            Err(ReadError::NoMemory(key)) => {
+                let refused = Outcome::not_run(Reason::Overloaded);
+                return api::write_outcome(&key, &refused, MEMORY_RETRY);
+            }
         };
         let key = spec.key.clone();
         let retry = spec.clone();
@@ -86,16 +95,26 @@
         api::write_outcome(&key, &outcome, after)
     }
 
-    async fn read_job(&self, req: Request<RequestBody>) -> Result<JobSpec, BadRequest> {
+    async fn read_job(
+        &self,
+        req: Request<RequestBody>,
+    ) -> Result<(JobSpec, Reservation), ReadError> {
         let limits = &self.core.cfg.jobs;
         let key = api::read_key(req.headers())?;
         let wait = limits.body_wait.duration();
         let body = req.into_body().read(limits.body_size, wait).await;
-        let body = body.map_err(|e| BadRequest {
-            status: body_status(e),
-            ..BadRequest::new("body", e)
-        })?;
-        api::read_job(key, &body, limits)
+        let body = match body {
+            Ok(body) => body,
+            Err(BodyError::NoMemory) => return Err(ReadError::NoMemory(key)),
+            Err(e) => {
+                return Err(ReadError::Bad(BadRequest {
+                    status: body_status(e),
+                    ..BadRequest::new("body", e)
+                }));
+            }
+        };
+        let spec = api::read_job(key, &body, limits)?;
+        Ok((spec, body.into_reservation()))
     }
 
     async fn one_job(&self, method: &Method, key: &str) -> Response<Full<Bytes>> {
@@ -144,6 +163,20 @@
     }
 }
 
+/// Why a job was not read.
+enum ReadError {
+    /// The request is malformed.
+    Bad(BadRequest),
+    /// The memory for bodies is spent.
+    NoMemory(JobKey),
+}
+
+impl From<BadRequest> for ReadError {
+    fn from(bad: BadRequest) -> ReadError {
+        ReadError::Bad(bad)
+    }
+}
+
 fn body_status(e: BodyError) -> StatusCode {
     match e {
         BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -13,6 +13,8 @@
     pub body_size: usize,
     /// Time within which a submission must have arrived completely.
     pub body_wait: Millis,
+    /// Memory for all bodies together, in bytes, beyond what their connections cover.
+    pub body_memory: usize,
     /// Longest deadline that a job may request.
     pub deadline: Millis,
     /// Maximum number of bytes of outcomes kept for callers that submit again.
@@ -28,6 +30,7 @@
         JobLimits {
             body_size: 4 << 20,
             body_wait: Millis(5_000),
+            body_memory: 256 << 20,
             deadline: Millis(60_000),
             kept_bytes: 64 << 20,
             ticket_span: 1 << 20,
@@ -130,6 +133,12 @@
         default: Some("5s"),
         help: "The time within which a submission must have arrived.",
     },
+    Key {
+        name: "body_memory",
+        kind: Kind::Count(64 << 20, 64 << 30),
+        default: Some("268435456"),
+        help: "The most bytes of all submissions' bodies that are being received.",
+    },
     Key {
         name: "deadline",
         kind: Kind::Span(1_000, 3_600_000),
@@ -238,6 +247,7 @@
     parts.put(JobLimits {
         body_size: section.get("body_size").unwrap_or(base.body_size),
         body_wait: section.get("body_wait").unwrap_or(base.body_wait),
+        body_memory: section.get("body_memory").unwrap_or(base.body_memory),
         deadline: section.get("deadline").unwrap_or(base.deadline),
         kept_bytes: section.get("kept_bytes").unwrap_or(base.kept_bytes),
         ticket_span: section.get("ticket_span").unwrap_or(base.ticket_span),
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -11,7 +11,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 use routing::Policy;
 use timeline::Note;
-use wire::{Client, Connect};
+use wire::{Client, Connect, MemoryBudget};
 
 use crate::claimer::Claimer;
 use crate::config::Config;
@@ -44,6 +44,8 @@
     pub me: Owner,
     /// Monotonic and wall clock.
     pub clock: SystemClock,
+    /// Memory for the bodies of callers' requests.
+    pub bodies: MemoryBudget,
     /// Client for calls to minions.
     pub minions: Client<C>,
     /// Client for calls to peers.
--- a/components/entry/src/gauges.rs
+++ b/components/entry/src/gauges.rs
@@ -19,13 +19,19 @@
 pub async fn watch<C: Connect, P: Policy>(core: Arc<Core<C, P>>) {
     let mut ticks = interval(UPDATE_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let (mut appends, mut missed) = (0, 0);
+    let (mut appends, mut missed, mut refused) = (0, 0, 0);
     loop {
         ticks.tick().await;
         let status = status::read(&core);
         for gauge in Gauge::ALL {
             core.notes.metrics.set(*gauge, gauge_value(&status, *gauge));
         }
+        raise_counter(
+            &core,
+            Count::ClientRefused,
+            &mut refused,
+            core.bodies.refusals(),
+        );
         raise_counter(&core, Count::WasteClaim, &mut appends, status.appends);
         raise_counter(
             &core,
@@ -55,6 +61,7 @@
         Gauge::LogAway => usize::from(status.log == "away"),
         Gauge::KeptBytes => status.kept_bytes,
         Gauge::TeamsAtQuota => status.teams.iter().filter(|t| t.held >= t.limit).count(),
+        Gauge::ClientMemory => status.body_memory,
         // Gauges of the `engine` crate, which this VM does not run.
         Gauge::ShardsOwned
         | Gauge::MinionsHeld
@@ -66,7 +73,6 @@
         | Gauge::SpeedContrast
         | Gauge::CrashRecords
         | Gauge::ClientConnections
-        | Gauge::ClientMemory
         | Gauge::HeartbeatAge => 0,
     };
     value as u64
--- a/components/entry/src/status.rs
+++ b/components/entry/src/status.rs
@@ -53,6 +53,8 @@
     pub kept: usize,
     /// Bytes that kept outcomes take.
     pub kept_bytes: usize,
+    /// Bytes of the memory for callers' bodies that are reserved.
+    pub body_memory: usize,
     /// Counters since the process's start.
     pub counts: BTreeMap<&'static str, u64>,
     /// Number of slots given back that were not held. A value other than zero
@@ -130,6 +132,7 @@
         running,
         kept,
         kept_bytes,
+        body_memory: core.bodies.used(),
         counts: counts(core),
         broken_slots: core.dispatch.fleet.violations(),
         violations: violations::read(core),
--- a/components/entry/src/vm.rs
+++ b/components/entry/src/vm.rs
@@ -17,7 +17,7 @@
 use routing::{Balanced, Fleet, LeastOwn, Policy, PolicyKind, Random, RoutingConfig, Split};
 use timeline::{EventKind, Note, Recorder};
 use tokio::sync::{mpsc, watch};
-use wire::{Client, Connect, PoolLimits, Server, ServerLimits};
+use wire::{Client, Connect, MemoryBudget, PoolLimits, Server, ServerLimits};
 
 use crate::callers::CallerServer;
 use crate::claimer::Claimer;
@@ -186,6 +186,7 @@
         stop: stop_tx,
         stopped,
     };
+    let callers = callers.with_budget(core.bodies.clone());
     let stoppers = [callers.stopper(), peers.stopper()];
     let serve_callers = tokio::spawn(callers.serve(CallerServer { core: core.clone() }));
     let serve_peers = tokio::spawn(peers.serve(PeerServer { core: core.clone() }));
@@ -245,6 +246,7 @@
     Core {
         view: ArcSwap::new(view),
         members: std::sync::Mutex::new(members),
+        bodies: MemoryBudget::new(cfg.jobs.body_memory),
         minions: Client::new(connect.clone(), cfg.pool),
         peers: Client::new(connect, cfg.pool),
         platform: HttpPlatform::new(to_platform, cfg.platform, wait),
--- a/components/wire/src/body.rs
+++ b/components/wire/src/body.rs
@@ -89,10 +89,7 @@
         let mut memory = memory.unwrap_or_else(Reservation::unlimited);
         let bytes = read_within(self.body, max, timeout, &mut memory).await?;
         self.activity.set_answering(true);
-        Ok(HeldBody {
-            bytes,
-            _memory: memory,
-        })
+        Ok(HeldBody { bytes, memory })
     }
 }
 
@@ -100,7 +97,14 @@
 #[derive(Debug)]
 pub struct HeldBody {
     bytes: Bytes,
-    _memory: Reservation,
+    memory: Reservation,
+}
+
+impl HeldBody {
+    /// Drops the body and returns its reservation, for what was decoded from it.
+    pub fn into_reservation(self) -> Reservation {
+        self.memory
+    }
 }
 
 impl Deref for HeldBody {
