Fixed receive buffers for clients only, and heap gaps in a connection's share

Calls between VMs inherited the clients' receive buffers of 16 KiB; a handover of megabytes would have taken many round trips of its 500 ms (found by reading). And the crowds of the tests used up to 46,801 KiB of 49,152.

Cause: the size stood in the defaults of every server; and a connection's share left out the gaps that crowds leave in the heap (68 KB a connection on the heap and some 20 KB in the system's buffer, by RssAnon of short_of_end, 20,616 KiB).

Change: only servers of clients set the buffer; a connection counts 112 KiB.

--- a/components/wire/src/memory.rs
+++ b/components/wire/src/memory.rs
@@ -7,8 +7,9 @@
 use kernel::Mebibytes;
 
 /// Memory of a connection in bytes: its read buffer while that holds the longest headers,
-/// [`COVERED_BYTES`] of a body, its task, and what the system has received for it.
-pub(crate) const CONNECTION_MEMORY: usize = 96 << 10;
+/// [`COVERED_BYTES`] of a body, its task, what the system has received for it, and a quarter
+/// more for gaps in the heap.
+pub(crate) const CONNECTION_MEMORY: usize = 112 << 10;
 
 /// Bytes of a request that its connection's [`CONNECTION_MEMORY`] covers. Requests up to
 /// this size are read without the budget that all connections share.
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -32,8 +32,8 @@
     /// Maximum size of a request's headers in bytes.
     pub header_size: usize,
     /// Size of the system's buffer for what a connection has received, in bytes. Without
-    /// it the system lets the buffer grow to megabytes.
-    pub receive_buffer: usize,
+    /// one the system lets the buffer grow to megabytes, which large messages need.
+    pub receive_buffer: Option<usize>,
 }
 
 /// Maximum number of connections in the listen queue.
@@ -49,7 +49,7 @@
             connections: 8192,
             header_wait: Duration::from_secs(10),
             header_size: 16 << 10,
-            receive_buffer: 16 << 10,
+            receive_buffer: None,
         }
     }
 }
@@ -123,8 +123,10 @@
             SocketAddr::V6(_) => TcpSocket::new_v6()?,
         };
         socket.set_reuseaddr(true)?;
-        // Connections in the listen queue inherit the size.
-        socket.set_recv_buffer_size(QUEUED_BUFFER)?;
+        if limits.receive_buffer.is_some() {
+            // Connections in the listen queue inherit the size.
+            socket.set_recv_buffer_size(QUEUED_BUFFER)?;
+        }
         socket.bind(addr)?;
         Ok(Server {
             listener: socket.listen(BACKLOG)?,
@@ -249,7 +251,9 @@
             mut stop,
         } = self;
         let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_recv_buffer_size(limits.receive_buffer);
+        if let Some(size) = limits.receive_buffer {
+            let _ = SockRef::from(&stream).set_recv_buffer_size(size);
+        }
         let activity = open.activity.clone();
         let service = service_fn(move |req: Request<Incoming>| {
             let handler = handler.clone();
