Fixed send buffers for clients

Clients that ask on and on and read no answer made the system hold 532,695 KiB for the process (150 connections, unread_answers of tests/crowds.rs; 49,152 allowed).

Cause: the system lets the send buffer of each connection grow to megabytes, and such a client's answers fill it.

Ruled out: the process's own buffers; a connection writes no further answer while its buffer of 16 KiB is full, and reads no further request.

Change: both buffers of a client's connection have a fixed size. The crowds' tests now also count the bytes that the process's connections could not send, which only makes them stricter.

--- a/components/wire/src/memory.rs
+++ b/components/wire/src/memory.rs
@@ -7,8 +7,8 @@
 use kernel::Mebibytes;
 
 /// Memory of a connection in bytes: its read buffer while that holds the longest headers,
-/// [`COVERED_BYTES`] of a body, its task, what the system has received for it, and a quarter
-/// more for gaps in the heap.
+/// [`COVERED_BYTES`] of a body or answers that its client does not read, its task, what the
+/// system has received for it, and a quarter more for gaps in the heap.
 pub(crate) const CONNECTION_MEMORY: usize = 112 << 10;
 
 /// Bytes of a request that its connection's [`CONNECTION_MEMORY`] covers. Requests up to
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -31,9 +31,10 @@
     pub header_wait: Duration,
     /// Maximum size of a request's headers in bytes.
     pub header_size: usize,
-    /// Size of the system's buffer for what a connection has received, in bytes. Without
-    /// one the system lets the buffer grow to megabytes, which large messages need.
-    pub receive_buffer: Option<usize>,
+    /// Size in bytes of each of the system's two buffers of a connection, for what it has
+    /// received and for what it is to send. Without a size the system lets them grow to
+    /// megabytes, which large messages need.
+    pub socket_buffer: Option<usize>,
 }
 
 /// Maximum number of connections in the listen queue.
@@ -49,7 +50,7 @@
             connections: 8192,
             header_wait: Duration::from_secs(10),
             header_size: 16 << 10,
-            receive_buffer: None,
+            socket_buffer: None,
         }
     }
 }
@@ -123,7 +124,7 @@
             SocketAddr::V6(_) => TcpSocket::new_v6()?,
         };
         socket.set_reuseaddr(true)?;
-        if limits.receive_buffer.is_some() {
+        if limits.socket_buffer.is_some() {
             // Connections in the listen queue inherit the size.
             socket.set_recv_buffer_size(QUEUED_BUFFER)?;
         }
@@ -251,8 +252,10 @@
             mut stop,
         } = self;
         let _ = stream.set_nodelay(true);
-        if let Some(size) = limits.receive_buffer {
-            let _ = SockRef::from(&stream).set_recv_buffer_size(size);
+        if let Some(size) = limits.socket_buffer {
+            let socket = SockRef::from(&stream);
+            let _ = socket.set_recv_buffer_size(size);
+            let _ = socket.set_send_buffer_size(size);
         }
         let activity = open.activity.clone();
         let service = service_fn(move |req: Request<Incoming>| {
--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -148,7 +148,7 @@
 /// The most that a process has used.
 #[derive(Debug, Default)]
 struct Usage {
-    /// Resident memory, or with the received bytes that the process has not read, in KiB.
+    /// Resident memory, or with the bytes that its connections have queued, in KiB.
     memory: AtomicUsize,
     descriptors: AtomicUsize,
 }
@@ -157,7 +157,7 @@
 fn sample(process: u32, ip: IpAddr, usage: &Weak<Usage>) {
     while let Some(usage) = usage.upgrade() {
         let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-        let held = field(&status, "VmRSS:") + unread_bytes(ip).div_ceil(1024);
+        let held = field(&status, "VmRSS:") + queued_bytes(ip).div_ceil(1024);
         let memory = held.max(field(&status, "VmHWM:"));
         usage.memory.fetch_max(memory, Ordering::Relaxed);
         let open = fs::read_dir(format!("/proc/{process}/fd"));
@@ -175,18 +175,18 @@
 }
 
 /// Returns the number of bytes that sockets of the address have received and that were
-/// not read.
-fn unread_bytes(ip: IpAddr) -> usize {
+/// not read, or that they could not send.
+fn queued_bytes(ip: IpAddr) -> usize {
     let sockets = sockets();
     let own = sockets.iter().filter(|s| s.local == ip);
-    own.map(|s| s.unread).sum()
+    own.map(|s| s.unread + s.unsent).sum()
 }
 
 /// Returns the number of bytes that are on their way to the address, or unread there.
 fn pending_bytes(ip: IpAddr) -> usize {
     let sockets = sockets();
     let sent = sockets.iter().filter(|s| s.remote == ip);
-    sent.map(|s| s.unsent).sum::<usize>() + unread_bytes(ip)
+    sent.map(|s| s.unsent).sum::<usize>() + queued_bytes(ip)
 }
 
 /// A connection in the system's table.
@@ -238,6 +238,8 @@
     pub rounds: usize,
     /// Whether the crowd waits for the answer to each client, or for its closing.
     pub awaits_answers: bool,
+    /// Whether the clients read what they are sent.
+    pub reads: bool,
 }
 
 impl Script {
@@ -248,6 +250,7 @@
             pause: Duration::ZERO,
             rounds: 1,
             awaits_answers: false,
+            reads: true,
         }
     }
 }
@@ -305,7 +308,9 @@
     }
     let _ = sent_tx.send(());
     if let Some((mut reader, _writer)) = connection {
-        let _ = reader.read_to_end(&mut Vec::new()).await;
+        if script.reads {
+            let _ = reader.read_to_end(&mut Vec::new()).await;
+        }
         // The client's own end stays open.
         std::future::pending::<()>().await;
     }
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -170,6 +170,18 @@
     scenario.assert_sound().await;
 }
 
+/// Clients that ask on and on and read no answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn unread_answers() {
+    let question = |_| b"GET /none/1 HTTP/1.1\r\nHost: a\r\n\r\n".repeat(2_000);
+    let more = vec![question(0); 16];
+    let script = Script {
+        reads: false,
+        ..Script::once(question, more)
+    };
+    assert_withstands("unread_answers", 150, script).await;
+}
+
 /// Returns no bytes of a request.
 fn silence(_: u64) -> Vec<u8> {
     Vec::new()
