--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -32,7 +32,7 @@
 pub const LEGAL_BODY: usize = 262_144;
 
 /// Time after which a wait in a test fails or, for a crowd, ends.
-const TIMEOUT: Duration = Duration::from_secs(30);
+pub const TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Time that an ordinary caller waits. It is shorter than the time for which the
 /// configuration lets a connection be idle.
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -4,11 +4,12 @@
 
 mod crowd;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use crowd::{Crowd, LEGAL_BODY, Scenario, Script};
+use crowd::{Crowd, LEGAL_BODY, Scenario, Script, TIMEOUT};
 use kernel::{MilliCores, Millis};
-use platform_standin::Answer;
+use platform_standin::{Answer, Caller};
 use soak::lasting_queue;
 use standins::Work;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -20,6 +21,9 @@
 /// Size of a crowd of connections, more than the VM's descriptors allow.
 const CONNECTIONS: usize = 1_300;
 
+/// Port of the metrics, as in deploy/system.toml.
+const METRICS_PORT: u16 = 9_464;
+
 /// Number of bytes that a client withholds at the end of its body.
 const WITHHELD: usize = 16;
 
@@ -151,6 +155,32 @@
     assert_withstands("sent_again", CROWD, script).await;
 }
 
+/// A client may say that it waits for as long as it likes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_deadlines() {
+    let mut scenario = Scenario::start("endless_deadlines").await;
+    let deadlines = [1 << 40, u64::MAX / 1_000, u64::MAX / 2, u64::MAX];
+    for (number, deadline) in (2..).zip(deadlines) {
+        let body = large_job(30);
+        let queue = lasting_queue().unwrap();
+        let head = format!(
+            "POST {}{number:016x} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n\
+             X-Request-Deadline: {deadline}\r\n\r\n",
+            queue.prefix(),
+            queue.host(),
+            body.len()
+        );
+        let mut stream = TcpStream::connect(scenario.front()).await.unwrap();
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&body).await.unwrap();
+        let mut answer = vec![0; 12];
+        stream.read_exact(&mut answer).await.unwrap();
+        let answer = String::from_utf8_lossy(&answer);
+        assert_eq!(answer, "HTTP/1.1 200", "deadline of {deadline} ms");
+    }
+    scenario.assert_sound().await;
+}
+
 /// A client inside the limits is served in calm, however it sends its body.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn calm_large_body() {
@@ -182,6 +212,30 @@
     assert_withstands("unread_answers", 150, script).await;
 }
 
+/// The pages for balancers and operators are no way around the limits.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn pages() {
+    let mut scenario = Scenario::start("pages").await;
+    let metrics = SocketAddr::from((scenario.front().ip(), METRICS_PORT));
+    let question = |_| b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n".repeat(500);
+    let more = vec![question(0); 4];
+    let unread = Script {
+        reads: false,
+        ..Script::once(question, more)
+    };
+    let body = vec![b' '; LEGAL_BODY - WITHHELD];
+    let short = Script::once(sized_head, vec![body]);
+    let mut crowds = Vec::new();
+    for page in [metrics, scenario.site.vms[0].ready] {
+        crowds.push(Crowd::send(page, 100, &unread).await);
+        crowds.push(Crowd::send(page, 100, &short).await);
+    }
+    let balancer = Caller::default();
+    let ready = balancer.ready(scenario.site.vms[0].ready, TIMEOUT).await;
+    assert!(ready, "the balancer's probe fails");
+    scenario.assert_sound().await;
+}
+
 /// Returns no bytes of a request.
 fn silence(_: u64) -> Vec<u8> {
     Vec::new()
