--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -22,7 +22,7 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_pomelopost");
 
-/// Limits of the VM's process. The memory is a third or less of what each crowd sends.
+/// Limits of the VM's process. A crowd of large bodies sends three times the memory.
 pub const LIMITS: VmLimits = VmLimits {
     memory: Mebibytes(48),
     descriptors: 2_400,
@@ -137,6 +137,7 @@
         let peak = self.usage.memory.load(Ordering::Relaxed);
         let open = self.usage.descriptors.load(Ordering::Relaxed);
         println!("peak memory {peak} KiB, open descriptors {open}, afterwards {answer:?}");
+        assert!(peak > 0 && open > 0, "the process was not sampled");
         let bound = LIMITS.memory.0 as usize * 1024;
         assert!(peak <= bound, "memory of {peak} KiB, allowed {bound}");
         let bound = LIMITS.descriptors;
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -133,7 +133,7 @@
     request
 }
 
-/// Jobs that wait or run count with what they were decoded to.
+/// Jobs that wait are bounded by admission, whatever they are decoded to.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn wide_jobs() {
     let mut scenario = Scenario::start("wide_jobs").await;
