--- a/review/lib-3/clients.rs
+++ b/review/lib-3/clients.rs
@@ -1,4 +1,4 @@
-//! Clients that submit and cancel jobs.
+//! Clients that submit jobs.
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -79,26 +79,6 @@
     silent.then_some(stream)
 }
 
-/// Cancels a job and returns the status of the answer.
-pub fn cancel(to: SocketAddr, id: &str, record: &Record) -> Option<u16> {
-    record.line(&format!("client: DELETE {id} to {to}"));
-    let headers = [("Host", HOST), ("X-Request-Deadline", "4000")];
-    let path = format!("{PREFIX}{id}");
-    let answer = http::call(
-        to,
-        "DELETE",
-        &path,
-        &headers,
-        b"",
-        Duration::from_millis(4_000),
-    );
-    record.line(&format!(
-        "client: DELETE {id} answered {:?}",
-        answer.as_ref().map(|a| a.0)
-    ));
-    answer.map(|(status, _)| status)
-}
-
 /// Returns the text of a job's id.
 pub fn id(number: u64) -> String {
     format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
--- a/review/lib-3/minions.rs
+++ b/review/lib-3/minions.rs
@@ -44,7 +44,6 @@
     last: BTreeMap<String, u64>,
     ends: Vec<(u64, String, u64, &'static str)>,
     count: u64,
-    cut: bool,
 }
 
 /// A minion.
@@ -110,16 +109,6 @@
         )
     }
 
-    /// Cuts the minion off from all entry VMs, or ends the cut. It runs on meanwhile.
-    pub fn cut(&self, cut: bool) {
-        self.state.lock().unwrap().cut = cut;
-        self.record.line(&format!(
-            "minion {} {}",
-            self.id,
-            if cut { "cut off" } else { "reachable again" }
-        ));
-    }
-
     fn clock(&self) -> u64 {
         self.start.elapsed().as_millis() as u64 + 1
     }
@@ -156,9 +145,6 @@
     }
 
     fn answer(&self, req: Request) -> Answer {
-        if self.state.lock().unwrap().cut {
-            return None;
-        }
         if req
             .header("x-expect-instance")
             .is_some_and(|id| id != self.id)
@@ -166,14 +152,12 @@
             return Some((421, Vec::new()));
         }
         let body = std::str::from_utf8(&req.body).ok().and_then(json::parse);
-        let answer = match (req.path.as_str(), body) {
+        match (req.path.as_str(), body) {
             ("/api/run-start", Some(order)) => self.begin(&order),
             ("/api/run-stop", Some(order)) => self.stop(&order),
             ("/api/hold", Some(order)) => self.hold(&order),
             _ => Some((400, Vec::new())),
-        };
-        // The answer is lost too if the minion was cut off meanwhile.
-        answer.filter(|_| !self.state.lock().unwrap().cut)
+        }
     }
 
     fn reply(&self, status: u16, rest: &str) -> Answer {
