--- a/review/lib-3/fleet.rs
+++ b/review/lib-3/fleet.rs
@@ -16,12 +16,15 @@
 /// Port of clients on all VMs; the others follow it.
 const FRONT: u16 = 18_161;
 
+/// Memory of a VM in MB (`limits.memory-mb`).
+pub const MEMORY_MB: u64 = 260;
+
 /// Program of the deploy file.
 const PROGRAM: &str = "target/release/pomelopost";
 
 /// An entry VM.
 pub struct Vm {
-    name: String,
+    pub name: String,
     ip: Ipv4Addr,
     settings: PathBuf,
     log: PathBuf,
@@ -37,8 +40,9 @@
     /// Starts the process.
     pub fn start(&mut self) -> std::io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(PROGRAM)
-            .arg("--platform")
+        // The limit on descriptors is the deployment's (`limits.max-fds`).
+        let child = Command::new("/bin/sh")
+            .args(["-c", "ulimit -n 4100 && exec \"$0\" --platform", PROGRAM])
             .env_clear()
             .env("POMELOPOST_NODE_FILE", &self.settings)
             .stdin(Stdio::null())
@@ -49,6 +53,18 @@
         Ok(())
     }
 
+    /// Returns the resident memory of the process in KiB, or 0 if it is not running.
+    pub fn memory(&self) -> u64 {
+        let Some(child) = &self.child else {
+            return 0;
+        };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let size = line.and_then(|l| l.trim().trim_end_matches(" kB").parse().ok());
+        size.unwrap_or(0)
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -217,7 +233,7 @@
         "node-name={name}\nrole=entry\nmachine-class=front\nserves=front,control\nip={ip}\nzone={zone}\n\
          region=viti-levu\n{all}listen.front={ip}:{FRONT}\nlisten.readiness-address={ip}:{ready}\n\
          listen.control={ip}:{control}\nport-range={range},{last}\nseeds={seeds}\nbootstrap=true\n\
-         in-fault-budget=false\nlimits.cpu-share=0.25\nlimits.cores=1\nlimits.memory-mb=260\n\
+         in-fault-budget=false\nlimits.cpu-share=0.25\nlimits.cores=1\nlimits.memory-mb={MEMORY_MB}\n\
          limits.max-fds=4100\nlimits.link-mbps=1000.0\nlimits.disk-mb=0\ndiscovery=platform\nentry=vip\n\
          heartbeat-ms=1500\ncontracts=base,drain,config,cost,recover,sched,platform,advice,upkeep,sharing\n\
          fault-tolerance.machines=1\nfault-tolerance.zones=1\nfault-tolerance.regions=0\n\
--- a/review/lib-3/http.rs
+++ b/review/lib-3/http.rs
@@ -43,10 +43,8 @@
 
 fn connection(stream: TcpStream, handler: &(dyn Fn(Request) -> Answer + Send + Sync)) {
     let _ = stream.set_nodelay(true);
-    let Ok(mut out) = stream.try_clone() else {
-        return;
-    };
-    let mut input = BufReader::new(stream);
+    let mut out = &stream;
+    let mut input = BufReader::new(&stream);
     while let Some(request) = read_request(&mut input) {
         let Some((status, body)) = handler(request) else {
             // The call stays unanswered until its sender closes the connection.
--- a/review/lib-3/scenarios.rs
+++ b/review/lib-3/scenarios.rs
@@ -1,10 +1,12 @@
 //! The scenarios. Each returns what broke its rule.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use crate::Record;
 use crate::clients::{id, submit, submit_and_lose};
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, MEMORY_MB};
 use crate::minions::Run;
 
 type Broken = Result<Vec<String>, String>;
@@ -14,6 +16,7 @@
     match name {
         "silent" => silent(trouble, record),
         "queued" => queued(trouble, record),
+        "phases" => phases(trouble, record),
         _ => Err(format!("no scenario {name:?}")),
     }
 }
@@ -115,6 +118,103 @@
     Ok(at_once(&fleet))
 }
 
+/// Many clients submit jobs of many phases at once, in bodies of legal size. As the
+/// platform does, the stand-in kills a process that exceeds its memory and starts it again.
+fn phases(trouble: bool, record: &Record) -> Broken {
+    const CLIENTS: u64 = 600;
+    const PHASES: usize = 1_900;
+    const RETRANSMIT_MS: u64 = 1_300;
+    const DEADLINE_MS: u64 = 12_000;
+    const CROWD_MS: u64 = 60_000;
+    /// Number of ends of processes, and of VMs with as many, that the rule allows.
+    const ENDS: u32 = 3;
+    const VMS: usize = 2;
+    const CHECK_MS: u64 = 20;
+    /// Time after which a process that was killed is started again.
+    const RESTART_MS: u64 = 500;
+    let mut fleet =
+        Fleet::start(&["suva-a", "nadi-b"], 1, 16, 32_000, record).map_err(|e| e.to_string())?;
+    let fronts: Vec<_> = fleet.vms.iter().map(|vm| vm.front()).collect();
+    let mut steps = one_step(1, 500, 900);
+    if trouble {
+        for _ in 1..PHASES {
+            steps.push_str(",{\"count\":1,\"depends-on\":[0]}");
+        }
+    }
+    record.line(&format!(
+        "a crowd of {CLIENTS} clients, phases of {} bytes",
+        steps.len()
+    ));
+    let over = Arc::new(AtomicBool::new(false));
+    let mut clients = Vec::new();
+    for n in 0..CLIENTS {
+        let (steps, fronts, over, record) =
+            (steps.clone(), fronts.clone(), over.clone(), record.clone());
+        clients.push(std::thread::spawn(move || {
+            let mut at = n as usize;
+            while !over.load(Ordering::Relaxed) {
+                let job = id(10_000 + n);
+                let answer = submit(
+                    fronts[at % fronts.len()],
+                    &job,
+                    "work=900,5 cpu=500",
+                    &steps,
+                    DEADLINE_MS,
+                    &record,
+                );
+                // Only what the pages call for is sent again.
+                if answer.is_some_and(|(status, _)| !matches!(status, 502 | 504)) {
+                    return;
+                }
+                at += 1;
+                sleep(RETRANSMIT_MS);
+            }
+        }));
+    }
+    let mut most = vec![0; fleet.vms.len()];
+    let mut kills = vec![0; fleet.vms.len()];
+    let mut down: Vec<Option<u64>> = vec![None; fleet.vms.len()];
+    let end = record.now() + CROWD_MS;
+    let broken = |kills: &[u32]| kills.iter().filter(|k| **k >= ENDS).count() >= VMS;
+    while record.now() < end && !broken(&kills) && clients.iter().any(|c| !c.is_finished()) {
+        sleep(CHECK_MS);
+        for (v, vm) in fleet.vms.iter_mut().enumerate() {
+            if let Some(since) = down[v] {
+                if record.now() >= since + RESTART_MS {
+                    vm.start().map_err(|e| e.to_string())?;
+                    down[v] = None;
+                }
+                continue;
+            }
+            let memory = vm.memory();
+            most[v] = memory.max(most[v]);
+            if memory > MEMORY_MB << 10 {
+                record.line(&format!(
+                    "{}: {memory} KiB, over its memory of {MEMORY_MB} MB, killed",
+                    vm.name
+                ));
+                vm.kill();
+                kills[v] += 1;
+                down[v] = Some(record.now());
+            }
+        }
+    }
+    over.store(true, Ordering::Relaxed);
+    record.line(&format!(
+        "most memory of each VM in KiB: {most:?}, kills: {kills:?}"
+    ));
+    println!("most memory of each VM in KiB: {most:?}, kills: {kills:?}");
+    for client in clients {
+        let _ = client.join();
+    }
+    match broken(&kills) {
+        true => Ok(vec![format!(
+            "Fault: processes exceeded their memory, by VM {kills:?} times"
+        )]),
+        false => Ok(Vec::new()),
+    }
+}
+
 /// Returns the runs of one task that were executing at the same time for over 10 ms.
 fn at_once(fleet: &Fleet) -> Vec<String> {
     let runs = fleet.runs.lock().unwrap();
